Serve one request end to end through separate processes

Cause: the repository was empty.

Change: design page, protobuf messages, and a thin path: mtnode (ingress, sidecar, membership, configuration from the log), mtctl, stand-ins of the platform's log and of an upstream, and mtdemo, which starts them as separate processes, confirms an intent and serves one call of each rank.

Admission, tokens, quarantine, SWIM, checkpoints and the measured decisions are still missing.

--- /dev/null
+++ b/cmd/mtnode/main.go
@@ -0,0 +1,78 @@
+// Command mtnode runs one node of mulberrytray beside an upstream VM.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mulberrytray/mulberrytray/pkg/event"
+	"github.com/mulberrytray/mulberrytray/pkg/node"
+)
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "mtnode:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	var s node.Settings
+	var check bool
+	var logFormat string
+	return &cli.Command{
+		Name:  "mtnode",
+		Usage: "run one node of mulberrytray beside an upstream VM",
+		Flags: []cli.Flag{
+			text("node-id", "unique name of the node", "", &s.NodeID),
+			text("region", "region of the VM", "default", &s.Region),
+			text("failure-domain", "failure domain of the VM", "", &s.FailureDomain),
+			text("caller-address", "IP:port for callers", "127.0.0.1:8080", &s.CallerAddress),
+			text("peer-address", "IP:port for other nodes", "127.0.0.1:8081", &s.PeerAddress),
+			text("local-address", "IP:port for the upstream beside the node", "127.0.0.1:8082", &s.LocalAddress),
+			text("admin-address", "IP:port for operators and metrics", "127.0.0.1:8083", &s.AdminAddress),
+			text("log-url", "base URL of the platform's log", "", &s.LogURL),
+			&cli.StringSliceFlag{Name: "peers", Usage: "IP:port of other nodes' peer listeners, for the first contact", Sources: cli.EnvVars("MTNODE_PEERS"), Destination: &s.Peers},
+			duration("default-timeout", "timeout of requests that state none (1ms to 300s)", 10*time.Second, &s.DefaultTimeout),
+			duration("log-timeout", "limit of a call to the log (100ms to 30s)", 2*time.Second, &s.LogTimeout),
+			duration("probe-period", "time between two membership probes (50ms to 10s)", time.Second, &s.ProbePeriod),
+			text("log-format", "text or json", "text", &logFormat),
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit", Destination: &check},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			if check {
+				return s.Validate()
+			}
+			return run(ctx, s, event.NewLogger(os.Stderr, event.Format(logFormat), log.InfoLevel))
+		},
+	}
+}
+
+func text(name, usage, value string, dst *string) cli.Flag {
+	return &cli.StringFlag{Name: name, Usage: usage, Value: value, Sources: cli.EnvVars(envName(name)), Destination: dst}
+}
+
+func duration(name, usage string, value time.Duration, dst *time.Duration) cli.Flag {
+	return &cli.DurationFlag{Name: name, Usage: usage, Value: value, Sources: cli.EnvVars(envName(name)), Destination: dst}
+}
+
+func run(ctx context.Context, s node.Settings, events *event.Logger) error {
+	n, err := node.New(s, events)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := n.Start(); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return n.Stop(context.Background())
+}
--- /dev/null
+++ b/cmd/mtupstream/main.go
@@ -0,0 +1,60 @@
+// Command mtupstream runs a stand-in for an upstream.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/mulberrytray/mulberrytray/internal/standin/upstream"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "mtupstream",
+		Usage: "run a stand-in for an upstream",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "address", Value: "127.0.0.1:8091", Usage: "IP:port to listen on"},
+			&cli.StringFlag{Name: "service", Required: true, Usage: "name of the service"},
+			&cli.StringFlag{Name: "announce-url", Required: true, Usage: "announcement endpoint of the node beside the upstream"},
+			&cli.IntFlag{Name: "slots", Value: 10, Usage: "requests served at the same time"},
+			&cli.DurationFlag{Name: "service-time", Value: 5 * time.Millisecond, Usage: "time per request"},
+		},
+		Action: run,
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "mtupstream:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	s := upstream.New(upstream.Config{
+		Service: c.String("service"), Address: c.String("address"), AnnounceURL: c.String("announce-url"),
+		Slots: c.Int("slots"), ServiceTime: c.Duration("service-time"),
+	})
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	srv := &http.Server{Addr: c.String("address"), Handler: s, ReadHeaderTimeout: 5 * time.Second}
+	go s.Announce(context.Background())
+	failed := make(chan error, 1)
+	go func() { failed <- srv.ListenAndServe() }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	s.Drain()
+	time.Sleep(time.Second)
+	if err := srv.Shutdown(context.Background()); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/platformlog/platformlog.go
@@ -0,0 +1,152 @@
+// Package platformlog is a stand-in for the platform's append-only log service.
+// It keeps records in memory, for a limited time, and shows faults on command.
+package platformlog
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/configlog/httplog"
+)
+
+// Faults are the faults the log shows. The zero value shows none.
+type Faults struct {
+	// Down makes each call fail with 503 before it has an effect.
+	Down bool `json:"down"`
+	// DelayMs is added to each call.
+	DelayMs int `json:"delay_ms"`
+	// LoseAppendAnswers makes appends take effect and then cuts the connection.
+	LoseAppendAnswers bool `json:"lose_append_answers"`
+}
+
+// Server is the log. It is safe for concurrent use.
+type Server struct {
+	retention time.Duration
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	faults  Faults
+}
+
+type stream struct {
+	earliest uint64
+	records  []record
+}
+
+type record struct {
+	at   time.Time
+	data []byte
+}
+
+// New returns an empty log that keeps records for the retention given.
+func New(retention time.Duration) *Server {
+	return &Server{retention: retention, streams: map[string]*stream{}}
+}
+
+// SetFaults replaces the faults shown.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+func (s *Server) getFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Handler serves the log's protocol and PUT /faults.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /streams/{stream}/records", s.faulty(s.append))
+	mux.HandleFunc("GET /streams/{stream}/records", s.faulty(s.read))
+	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.SetFaults(f)
+	})
+	return mux
+}
+
+func (s *Server) faulty(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f := s.getFaults()
+		time.Sleep(time.Duration(f.DelayMs) * time.Millisecond)
+		if f.Down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		next(w, r)
+	}
+}
+
+// maxRecordBytes bounds one record.
+const maxRecordBytes = 1 << 20
+
+func (s *Server) append(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	s.mu.Lock()
+	st := s.stream(r.PathValue("stream"))
+	st.records = append(st.records, record{at: time.Now(), data: data})
+	offset := st.earliest + uint64(len(st.records)) - 1
+	lose := s.faults.LoseAppendAnswers
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, httplog.AppendResponse{Offset: offset})
+}
+
+func (s *Server) read(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from: not an offset", http.StatusBadRequest)
+		return
+	}
+	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
+	if err != nil || limit < 1 {
+		http.Error(w, "limit: not a positive number", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(r.PathValue("stream"))
+	resp := httplog.ReadResponse{Earliest: st.earliest, End: st.earliest + uint64(len(st.records))}
+	for o := max(from, st.earliest); o < resp.End && len(resp.Records) < limit; o++ {
+		resp.Records = append(resp.Records, httplog.ReadRecord{Offset: o, Data: st.records[o-st.earliest].data})
+	}
+	writeJSON(w, resp)
+}
+
+// stream returns the stream without expired records. The caller holds the lock.
+func (s *Server) stream(name string) *stream {
+	st := s.streams[name]
+	if st == nil {
+		st = &stream{}
+		s.streams[name] = st
+	}
+	cut := 0
+	for cut < len(st.records) && time.Since(st.records[cut].at) > s.retention {
+		cut++
+	}
+	st.records = st.records[cut:]
+	st.earliest += uint64(cut)
+	return st
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/pkg/configlog/httplog/client.go
@@ -0,0 +1,113 @@
+// Package httplog is the HTTP adapter of the configlog.Log port.
+//
+// Protocol of the platform's log:
+//
+//	POST /streams/{stream}/records            body: record   -> {"offset": N}
+//	GET  /streams/{stream}/records?from=N&limit=M            -> {"earliest": E, "end": F, "records": [{"offset": N, "data": base64}]}
+package httplog
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/configlog"
+)
+
+// maxResponseBytes bounds a read's answer.
+const maxResponseBytes = 32 << 20
+
+// AppendResponse is the body of an append's answer.
+type AppendResponse struct {
+	Offset uint64 `json:"offset"`
+}
+
+// ReadResponse is the body of a read's answer.
+type ReadResponse struct {
+	Earliest uint64       `json:"earliest"`
+	End      uint64       `json:"end"`
+	Records  []ReadRecord `json:"records"`
+}
+
+// ReadRecord is one record of a read's answer.
+type ReadRecord struct {
+	Offset uint64 `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+// Client talks to the log over HTTP. It is safe for concurrent use.
+type Client struct {
+	base   *url.URL
+	client *http.Client
+}
+
+var _ configlog.Log = (*Client)(nil)
+
+// New returns a client for the log at the base URL. Each call takes at most timeout.
+func New(base *url.URL, timeout time.Duration) *Client {
+	return &Client{base: base, client: &http.Client{Timeout: timeout}}
+}
+
+// Append implements configlog.Log.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	u := c.base.JoinPath("streams", stream, "records")
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.String(), bytes.NewReader(data))
+	if err != nil {
+		return 0, fmt.Errorf("append to %s: %w", stream, err)
+	}
+	// The record id makes appends idempotent for this system, but the transport must
+	// not send one again by itself: the caller decides after ErrUnknown.
+	req.GetBody = nil
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("append to %s: %w: %w", stream, configlog.ErrUnknown, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		return 0, fmt.Errorf("append to %s: %w: status %d", stream, configlog.ErrUnavailable, resp.StatusCode)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("append to %s: %w: status %d", stream, configlog.ErrUnknown, resp.StatusCode)
+	}
+	var out AppendResponse
+	if err := decode(resp.Body, &out); err != nil {
+		return 0, fmt.Errorf("append to %s: %w: %w", stream, configlog.ErrUnknown, err)
+	}
+	return out.Offset, nil
+}
+
+// Read implements configlog.Log.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, limit int) (configlog.Batch, error) {
+	u := c.base.JoinPath("streams", stream, "records")
+	u.RawQuery = url.Values{"from": {fmt.Sprint(from)}, "limit": {fmt.Sprint(limit)}}.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return configlog.Batch{}, fmt.Errorf("read %s: %w", stream, err)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return configlog.Batch{}, fmt.Errorf("read %s: %w: %w", stream, configlog.ErrUnavailable, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return configlog.Batch{}, fmt.Errorf("read %s: %w: status %d", stream, configlog.ErrUnavailable, resp.StatusCode)
+	}
+	var out ReadResponse
+	if err := decode(resp.Body, &out); err != nil {
+		return configlog.Batch{}, fmt.Errorf("read %s: %w: %w", stream, configlog.ErrUnavailable, err)
+	}
+	b := configlog.Batch{Earliest: out.Earliest, End: out.End}
+	for _, r := range out.Records {
+		b.Entries = append(b.Entries, configlog.Entry{Offset: r.Offset, Data: r.Data})
+	}
+	return b, nil
+}
+
+func decode(r io.Reader, v any) error {
+	return json.NewDecoder(io.LimitReader(r, maxResponseBytes)).Decode(v)
+}
--- /dev/null
+++ b/pkg/event/catalogue.go
@@ -0,0 +1,44 @@
+package event
+
+import "github.com/apex/log"
+
+// Events of the node's life cycle, 1000 to 1099.
+var (
+	NodeStarting = Event{1001, log.InfoLevel, "node starting"}
+	NodeServing  = Event{1002, log.InfoLevel, "node serving"}
+	NodeDraining = Event{1003, log.InfoLevel, "node draining"}
+	NodeStopped  = Event{1004, log.InfoLevel, "node stopped"}
+	NodeFailed   = Event{1005, log.ErrorLevel, "node failed"}
+	HandlerPanic = Event{1006, log.ErrorLevel, "request handler panicked"}
+)
+
+// Events of the configuration, 1100 to 1199.
+var (
+	ConfigInstalled  = Event{1101, log.InfoLevel, "configuration installed"}
+	LogUnreachable   = Event{1102, log.WarnLevel, "platform log unreachable"}
+	LogReachable     = Event{1103, log.InfoLevel, "platform log reachable again"}
+	RecordInvalid    = Event{1104, log.WarnLevel, "log record ignored"}
+	CheckpointFailed = Event{1105, log.WarnLevel, "checkpoint not written"}
+	LogReset         = Event{1106, log.ErrorLevel, "platform log ends before the applied offset"}
+	LogGap           = Event{1107, log.WarnLevel, "platform log no longer keeps the next record"}
+)
+
+// Events of the membership, 1200 to 1299.
+var (
+	MemberJoined   = Event{1201, log.InfoLevel, "member joined"}
+	MemberSuspect  = Event{1202, log.WarnLevel, "member suspect"}
+	MemberDead     = Event{1203, log.WarnLevel, "member dead"}
+	MemberLeft     = Event{1204, log.InfoLevel, "member left"}
+	MemberReplaced = Event{1205, log.InfoLevel, "member replaced by a new incarnation"}
+)
+
+// Events of the sidecar, 1300 to 1399.
+var (
+	UpstreamAnnounced = Event{1301, log.InfoLevel, "upstream announced"}
+	UpstreamReady     = Event{1302, log.InfoLevel, "upstream ready"}
+	UpstreamDraining  = Event{1303, log.InfoLevel, "upstream draining"}
+	UpstreamLapsed    = Event{1304, log.WarnLevel, "upstream lease lapsed"}
+	UpstreamCrashed   = Event{1305, log.ErrorLevel, "upstream crashed with requests in flight"}
+	RequestBlocked    = Event{1306, log.ErrorLevel, "request blocked after crashing upstreams"}
+	RequestCleared    = Event{1307, log.InfoLevel, "suspect request cleared"}
+)
--- /dev/null
+++ b/pkg/membership/membership.go
@@ -0,0 +1,30 @@
+// Package membership keeps the list of nodes, each with the upstream beside it,
+// and detects failed ones with the SWIM protocol. The port Transport carries its
+// messages; package peer implements it.
+package membership
+
+import (
+	"context"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+)
+
+// Transport carries probes to other nodes. Implementations are safe for
+// concurrent use and honour the context's deadline.
+type Transport interface {
+	Ping(ctx context.Context, address string, req *pb.PingRequest) (*pb.PingResponse, error)
+	PingIndirect(ctx context.Context, address string, req *pb.PingIndirectRequest) (*pb.PingIndirectResponse, error)
+	Sync(ctx context.Context, address string, req *pb.SyncRequest) (*pb.SyncResponse, error)
+}
+
+// Supersedes reports whether the update a replaces what is known as b.
+// A larger incarnation always wins, then a larger sequence, then the worse status.
+func Supersedes(a, b *pb.Member) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	if a.Sequence != b.Sequence {
+		return a.Sequence > b.Sequence
+	}
+	return a.Status > b.Status
+}
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,334 @@
+// Package node wires the parts of one node together and runs them.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/looplab/fsm"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+	"github.com/mulberrytray/mulberrytray/pkg/configlog"
+	"github.com/mulberrytray/mulberrytray/pkg/configlog/httplog"
+	"github.com/mulberrytray/mulberrytray/pkg/event"
+	"github.com/mulberrytray/mulberrytray/pkg/ingress"
+	"github.com/mulberrytray/mulberrytray/pkg/intent"
+	"github.com/mulberrytray/mulberrytray/pkg/membership"
+	"github.com/mulberrytray/mulberrytray/pkg/operator"
+	"github.com/mulberrytray/mulberrytray/pkg/peer"
+	"github.com/mulberrytray/mulberrytray/pkg/routing"
+	"github.com/mulberrytray/mulberrytray/pkg/sidecar"
+	"github.com/mulberrytray/mulberrytray/pkg/telemetry"
+)
+
+// Life cycle states and events.
+const (
+	stateStarting = "starting"
+	stateServing  = "serving"
+	stateDraining = "draining"
+	stateStopped  = "stopped"
+
+	eventServe = "serve"
+	eventDrain = "drain"
+	eventStop  = "stop"
+)
+
+// leaseTTL is shorter than the 3 s within which a leaving upstream must get no
+// new work, by one announcement interval.
+const leaseTTL = 2500 * time.Millisecond
+
+// Node is one process of the system.
+type Node struct {
+	settings    Settings
+	incarnation uint64
+	events      *event.Logger
+	registry    metrics.Registry
+	lifecycle   *fsm.FSM
+
+	log     configlog.Log
+	keeper  *configlog.Keeper
+	peers   *peer.Client
+	agent   *membership.Agent
+	sidecar *sidecar.Sidecar
+	ingress *ingress.Ingress
+
+	servers []*http.Server
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// New provisions a node from valid settings.
+func New(s Settings, events *event.Logger) (*Node, error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	logURL, err := url.Parse(s.LogURL)
+	if err != nil {
+		return nil, fmt.Errorf("node: %w", err)
+	}
+	n := &Node{
+		settings:    s,
+		incarnation: uint64(time.Now().UnixMicro()),
+		events:      events.With(event.Fields{"node": s.NodeID}),
+		registry:    metrics.NewRegistry(),
+		log:         httplog.New(logURL, s.LogTimeout),
+		peers:       peer.NewClient(90 * time.Second),
+	}
+	n.lifecycle = fsm.NewFSM(stateStarting, fsm.Events{
+		{Name: eventServe, Src: []string{stateStarting}, Dst: stateServing},
+		{Name: eventDrain, Src: []string{stateStarting, stateServing}, Dst: stateDraining},
+		{Name: eventStop, Src: []string{stateDraining}, Dst: stateStopped},
+	}, fsm.Callbacks{})
+	n.keeper = configlog.NewKeeper(n.log, n.events)
+	n.sidecar = sidecar.New(sidecar.Config{Incarnation: n.incarnation, LeaseTTL: leaseTTL}, n.events)
+	n.agent = membership.NewAgent(membership.Config{
+		Period: s.ProbePeriod, ProbeTimeout: 300 * time.Millisecond, SuspicionTimeout: 4 * time.Second,
+	}, &pb.Member{
+		NodeId: s.NodeID, Incarnation: n.incarnation, PeerAddress: s.PeerAddress, AdminAddress: s.AdminAddress,
+		Region: s.Region, FailureDomain: s.FailureDomain,
+	}, n.peers, n.events)
+	n.ingress = ingress.New(ingress.Config{DefaultTimeout: s.DefaultTimeout, MaxTimeout: 300 * time.Second},
+		n, n, &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true})
+	return n, nil
+}
+
+// Start opens the listeners and starts all duties.
+func (n *Node) Start() error {
+	n.events.Emit(event.NodeStarting, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	peerMux := http.NewServeMux()
+	(&peer.Handler{
+		OnPing: func(_ context.Context, r *pb.PingRequest) (*pb.PingResponse, error) {
+			return n.agent.HandlePing(r), nil
+		},
+		OnSync: func(_ context.Context, r *pb.SyncRequest) (*pb.SyncResponse, error) {
+			return n.agent.HandleSync(r), nil
+		},
+		OnSnapshot: func(_ context.Context, r *pb.FetchSnapshotRequest) (*pb.FetchSnapshotResponse, error) {
+			return n.snapshot(r)
+		},
+	}).Mount(peerMux)
+	peerMux.Handle("/", n.sidecar)
+	localMux := http.NewServeMux()
+	localMux.HandleFunc("POST /v1/announce", n.sidecar.ServeAnnounce)
+	adminMux := http.NewServeMux()
+	operator.New(n.keeper, n).Mount(adminMux)
+	adminMux.Handle("GET /metrics", telemetry.Handler(n.registry))
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.settings.PeerAddress, peerMux}, {n.settings.LocalAddress, localMux},
+		{n.settings.AdminAddress, adminMux}, {n.settings.CallerAddress, n.ingress},
+	} {
+		if err := n.listen(l.address, l.handler); err != nil {
+			n.closeServers()
+			cancel()
+			return err
+		}
+	}
+	n.goDo(func() { n.keeper.Run(ctx, n.pollInterval) })
+	n.goDo(func() { n.agent.Run(ctx) })
+	n.goDo(func() { n.announceSelf(ctx) })
+	n.goDo(func() { n.followPeers(ctx) })
+	n.goDo(func() { n.refreshSelf(ctx) })
+	if err := n.lifecycle.Event(ctx, eventServe); err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	n.events.Emit(event.NodeServing, nil)
+	return nil
+}
+
+func (n *Node) goDo(f func()) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f()
+	}()
+}
+
+// maxHeaderBytes bounds the header of a request.
+const maxHeaderBytes = 16 << 10
+
+func (n *Node) listen(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	srv := &http.Server{Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: 5 * time.Second, Protocols: protocols}
+	n.servers = append(n.servers, srv)
+	n.goDo(func() {
+		if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			n.events.Emit(event.NodeFailed, event.Fields{"error": err.Error()})
+		}
+	})
+	return nil
+}
+
+func (n *Node) closeServers() {
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+}
+
+// Stop refuses new work, waits for the requests in flight, and ends all duties.
+func (n *Node) Stop(ctx context.Context) error {
+	if err := n.lifecycle.Event(ctx, eventDrain); err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	n.events.Emit(event.NodeDraining, nil)
+	n.sidecar.SetDrain(true)
+	var errs []error
+	for i := len(n.servers) - 1; i >= 0; i-- {
+		errs = append(errs, n.servers[i].Shutdown(ctx))
+	}
+	n.cancel()
+	n.wg.Wait()
+	if err := n.lifecycle.Event(ctx, eventStop); err != nil {
+		errs = append(errs, err)
+	}
+	n.events.Emit(event.NodeStopped, nil)
+	return errors.Join(errs...)
+}
+
+// pollsPerSecond bounds the reads of the log by the whole fleet.
+const pollsPerSecond = 20
+
+func (n *Node) pollInterval() time.Duration {
+	return max(time.Second, time.Duration(len(n.agent.Members()))*time.Second/pollsPerSecond)
+}
+
+// memberRecordInterval is the time between two records of this node on the members stream.
+const memberRecordInterval = 5 * time.Minute
+
+// announceSelf writes this node's address to the log and reads those of others.
+func (n *Node) announceSelf(ctx context.Context) {
+	if len(n.settings.Peers) > 0 {
+		_ = n.agent.Join(ctx, n.settings.Peers)
+	}
+	data, err := proto.Marshal(&pb.MemberRecord{NodeId: n.settings.NodeID, Incarnation: n.incarnation, PeerAddress: n.settings.PeerAddress})
+	if err != nil {
+		return
+	}
+	for ctx.Err() == nil {
+		wait := memberRecordInterval
+		if err := n.contactViaLog(ctx, data); err != nil {
+			wait = time.Second
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (n *Node) contactViaLog(ctx context.Context, self []byte) error {
+	if _, err := n.log.Append(ctx, configlog.StreamMembers, self); err != nil {
+		return err
+	}
+	batch, err := n.log.Read(ctx, configlog.StreamMembers, 0, 256)
+	if err != nil {
+		return err
+	}
+	for _, e := range batch.Entries {
+		var rec pb.MemberRecord
+		if err := proto.Unmarshal(e.Data, &rec); err == nil && rec.NodeId != n.settings.NodeID {
+			_ = n.agent.Join(ctx, []string{rec.PeerAddress})
+		}
+	}
+	return nil
+}
+
+// followPeers fetches the configuration from a peer that has a newer one.
+func (n *Node) followPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+		have := n.keeper.Current().Version
+		for _, m := range n.agent.Members() {
+			if m.ConfigVersion <= have {
+				continue
+			}
+			resp, err := n.peers.FetchSnapshot(ctx, m.PeerAddress, &pb.FetchSnapshotRequest{HaveVersion: have})
+			if err == nil && len(resp.Snapshot) > 0 {
+				_ = n.keeper.Merge(resp.Snapshot)
+				break
+			}
+		}
+	}
+}
+
+// refreshSelf keeps this node's own membership entry up to date.
+func (n *Node) refreshSelf(ctx context.Context) {
+	for ctx.Err() == nil {
+		load := n.sidecar.Load()
+		n.agent.UpdateSelf(func(m *pb.Member) {
+			m.Service, m.UpstreamState, m.Slots = n.sidecar.Service(), load.State, load.Slots
+			m.ConfigVersion = n.keeper.Current().Version
+		})
+		select {
+		case <-ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+func (n *Node) snapshot(r *pb.FetchSnapshotRequest) (*pb.FetchSnapshotResponse, error) {
+	cur := n.keeper.Current()
+	if cur.Version <= r.HaveVersion {
+		return &pb.FetchSnapshotResponse{}, nil
+	}
+	data, err := proto.Marshal(cur.State)
+	return &pb.FetchSnapshotResponse{Snapshot: data}, err
+}
+
+// Candidates implements ingress.Directory.
+func (n *Node) Candidates(service string) []routing.Candidate {
+	var out []routing.Candidate
+	for _, m := range n.agent.Members() {
+		usable := m.UpstreamState == pb.UpstreamState_UPSTREAM_STATE_READY || m.UpstreamState == pb.UpstreamState_UPSTREAM_STATE_WARMING
+		if m.Service != service || !usable || m.Status > pb.MemberStatus_MEMBER_STATUS_SUSPECT {
+			continue
+		}
+		out = append(out, routing.Candidate{
+			NodeID: m.NodeId, Incarnation: m.Incarnation, PeerAddress: m.PeerAddress, FailureDomain: m.FailureDomain,
+			Slots: int(m.Slots), Warming: m.UpstreamState == pb.UpstreamState_UPSTREAM_STATE_WARMING,
+		})
+	}
+	return out
+}
+
+// Intent implements ingress.Intents.
+func (n *Node) Intent() *intent.Intent { return n.keeper.Current().Intent }
+
+// Members implements operator.Fleet.
+func (n *Node) Members() []*pb.Member { return n.agent.Members() }
+
+// Status implements operator.Fleet.
+func (n *Node) Status() *pb.NodeStatusResponse {
+	cur := n.keeper.Current()
+	resp := &pb.NodeStatusResponse{
+		Member: n.agent.Self(), Load: n.sidecar.Load(), Lifecycle: n.lifecycle.Current(),
+		ConfigVersion: cur.Version, IntentYaml: cur.State.IntentYaml, LogReachable: true,
+		LogNextOffset: cur.State.NextOffset, ConfigAgeMs: time.Since(cur.Installed).Milliseconds(),
+	}
+	if err := n.keeper.LogError(); err != nil {
+		resp.LogReachable, resp.LogError = false, err.Error()
+	}
+	return resp
+}
--- /dev/null
+++ b/pkg/peer/peer.go
@@ -0,0 +1,146 @@
+// Package peer carries control messages between nodes on connect-go. It adapts
+// the ports of the packages that exchange them.
+package peer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+	pbconnect "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1/mulberrytrayv1connect"
+)
+
+// MaxMessageBytes bounds each message between nodes.
+const MaxMessageBytes = 4 << 20
+
+// Client calls the peer services of other nodes by address. It is safe for
+// concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client. Idle connections are closed after idleTimeout.
+func NewClient(idleTimeout time.Duration) *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		MaxIdleConns:        64,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}}}
+}
+
+func (c *Client) at(address string) pbconnect.PeerServiceClient {
+	return pbconnect.NewPeerServiceClient(c.http, "http://"+address,
+		connect.WithReadMaxBytes(MaxMessageBytes), connect.WithSendMaxBytes(MaxMessageBytes),
+		connect.WithSendGzip())
+}
+
+// call unwraps a connect response.
+func call[Req, Res any](ctx context.Context, req *Req, f func(context.Context, *connect.Request[Req]) (*connect.Response[Res], error)) (*Res, error) {
+	resp, err := f(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// Ping implements membership.Transport.
+func (c *Client) Ping(ctx context.Context, address string, req *pb.PingRequest) (*pb.PingResponse, error) {
+	return call(ctx, req, c.at(address).Ping)
+}
+
+// PingIndirect implements membership.Transport.
+func (c *Client) PingIndirect(ctx context.Context, address string, req *pb.PingIndirectRequest) (*pb.PingIndirectResponse, error) {
+	return call(ctx, req, c.at(address).PingIndirect)
+}
+
+// Sync implements membership.Transport.
+func (c *Client) Sync(ctx context.Context, address string, req *pb.SyncRequest) (*pb.SyncResponse, error) {
+	return call(ctx, req, c.at(address).Sync)
+}
+
+// FetchSnapshot fetches a newer configuration, if the node has one.
+func (c *Client) FetchSnapshot(ctx context.Context, address string, req *pb.FetchSnapshotRequest) (*pb.FetchSnapshotResponse, error) {
+	return call(ctx, req, c.at(address).FetchSnapshot)
+}
+
+// ReportQuarantine sends crash evidence and waits for its acknowledgement.
+func (c *Client) ReportQuarantine(ctx context.Context, address string, req *pb.ReportQuarantineRequest) (*pb.ReportQuarantineResponse, error) {
+	return call(ctx, req, c.at(address).ReportQuarantine)
+}
+
+// IssueToken asks a sidecar for an idempotency token.
+func (c *Client) IssueToken(ctx context.Context, address string, req *pb.IssueTokenRequest) (*pb.IssueTokenResponse, error) {
+	return call(ctx, req, c.at(address).IssueToken)
+}
+
+// ProbeLoad asks a sidecar for its load.
+func (c *Client) ProbeLoad(ctx context.Context, address string, req *pb.ProbeLoadRequest) (*pb.ProbeLoadResponse, error) {
+	return call(ctx, req, c.at(address).ProbeLoad)
+}
+
+// Handler answers the messages of other nodes. Each field may be nil; its calls
+// then answer "unimplemented".
+type Handler struct {
+	OnPing         func(context.Context, *pb.PingRequest) (*pb.PingResponse, error)
+	OnPingIndirect func(context.Context, *pb.PingIndirectRequest) (*pb.PingIndirectResponse, error)
+	OnSync         func(context.Context, *pb.SyncRequest) (*pb.SyncResponse, error)
+	OnSnapshot     func(context.Context, *pb.FetchSnapshotRequest) (*pb.FetchSnapshotResponse, error)
+	OnQuarantine   func(context.Context, *pb.ReportQuarantineRequest) (*pb.ReportQuarantineResponse, error)
+	OnIssueToken   func(context.Context, *pb.IssueTokenRequest) (*pb.IssueTokenResponse, error)
+	OnProbeLoad    func(context.Context, *pb.ProbeLoadRequest) (*pb.ProbeLoadResponse, error)
+}
+
+// Mount registers the peer service on the mux.
+func (h *Handler) Mount(mux *http.ServeMux) {
+	mux.Handle(pbconnect.NewPeerServiceHandler(&server{h: h},
+		connect.WithReadMaxBytes(MaxMessageBytes), connect.WithSendMaxBytes(MaxMessageBytes)))
+}
+
+// server adapts Handler to the generated interface.
+type server struct {
+	pbconnect.UnimplementedPeerServiceHandler
+	h *Handler
+}
+
+func answer[Req, Res any](ctx context.Context, req *connect.Request[Req], f func(context.Context, *Req) (*Res, error)) (*connect.Response[Res], error) {
+	if f == nil {
+		return nil, connect.NewError(connect.CodeUnimplemented, nil)
+	}
+	res, err := f(ctx, req.Msg)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(res), nil
+}
+
+func (s *server) Ping(ctx context.Context, req *connect.Request[pb.PingRequest]) (*connect.Response[pb.PingResponse], error) {
+	return answer(ctx, req, s.h.OnPing)
+}
+
+func (s *server) PingIndirect(ctx context.Context, req *connect.Request[pb.PingIndirectRequest]) (*connect.Response[pb.PingIndirectResponse], error) {
+	return answer(ctx, req, s.h.OnPingIndirect)
+}
+
+func (s *server) Sync(ctx context.Context, req *connect.Request[pb.SyncRequest]) (*connect.Response[pb.SyncResponse], error) {
+	return answer(ctx, req, s.h.OnSync)
+}
+
+func (s *server) FetchSnapshot(ctx context.Context, req *connect.Request[pb.FetchSnapshotRequest]) (*connect.Response[pb.FetchSnapshotResponse], error) {
+	return answer(ctx, req, s.h.OnSnapshot)
+}
+
+func (s *server) ReportQuarantine(ctx context.Context, req *connect.Request[pb.ReportQuarantineRequest]) (*connect.Response[pb.ReportQuarantineResponse], error) {
+	return answer(ctx, req, s.h.OnQuarantine)
+}
+
+func (s *server) IssueToken(ctx context.Context, req *connect.Request[pb.IssueTokenRequest]) (*connect.Response[pb.IssueTokenResponse], error) {
+	return answer(ctx, req, s.h.OnIssueToken)
+}
+
+func (s *server) ProbeLoad(ctx context.Context, req *connect.Request[pb.ProbeLoadRequest]) (*connect.Response[pb.ProbeLoadResponse], error) {
+	return answer(ctx, req, s.h.OnProbeLoad)
+}
