--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -80,6 +80,7 @@
 	ReasonTokenMismatch    Reason = "token-mismatch"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonUpstreamFailed   Reason = "upstream-failed"
+	ReasonUpstreamCrashed  Reason = "upstream-crashed"
 	ReasonNodeUnreachable  Reason = "node-unreachable"
 	ReasonCancelled        Reason = "cancelled"
 	ReasonInvalidAnswer    Reason = "invalid-answer"
