Add the fleet launcher for both deployments and the load generator

Cause: the demonstration ran three nodes; measurements need the fleets of both users and baselines in the same run.

--- a/cmd/mtdemo/main.go
+++ b/cmd/mtdemo/main.go
@@ -1,10 +1,11 @@
 // Command mtdemo starts a small fleet as separate processes, puts an intent in
-// force, and serves one call of each rank.
+// force, serves one call of each rank, and explains one of them.
 package main
 
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -13,21 +14,26 @@
 	"github.com/urfave/cli/v3"
 
 	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
-	pbconnect "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1/mulberrytrayv1connect"
 	"github.com/mulberrytray/mulberrytray/internal/fleet"
 	"github.com/mulberrytray/mulberrytray/pkg/intent"
+	"github.com/mulberrytray/mulberrytray/pkg/outcome"
 )
 
+// limit bounds the whole demonstration.
+const limit = 60 * time.Second
+
 func main() {
 	cmd := &cli.Command{
 		Name:  "mtdemo",
-		Usage: "start a small fleet, put an intent in force, and serve one call of each rank",
+		Usage: "start a small fleet, put an intent in force, serve one call of each rank, and explain one",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "bin-dir", Value: "bin", Usage: "directory of the binaries"},
-			&cli.StringFlag{Name: "intent", Value: "deploy/liegewerk/intent.yaml", Usage: "intent file"},
+			&cli.StringFlag{Name: "deployment", Value: "deploy/liegewerk", Usage: "directory with fleet.yaml and intent.yaml"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return run(ctx, c.String("bin-dir"), c.String("intent"))
+			ctx, cancel := context.WithTimeout(ctx, limit)
+			defer cancel()
+			return run(ctx, c.String("bin-dir"), c.String("deployment"))
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
@@ -36,12 +42,16 @@
 	}
 }
 
-func run(ctx context.Context, binDir, intentFile string) error {
-	data, err := os.ReadFile(intentFile)
+func run(ctx context.Context, binDir, dir string) error {
+	text, err := os.ReadFile(dir + "/intent.yaml")
+	if err != nil {
+		return err
+	}
+	in, err := intent.Parse(text)
 	if err != nil {
 		return err
 	}
-	in, err := intent.Parse(data)
+	d, err := fleet.LoadDeployment(dir + "/fleet.yaml")
 	if err != nil {
 		return err
 	}
@@ -49,88 +59,72 @@
 	if err != nil {
 		return err
 	}
-	l := &fleet.Launcher{BinDir: binDir, LogDir: logs}
-	defer l.Stop()
-	if err := startFleet(l, in); err != nil {
+	f, err := fleet.Start(d, fleet.Options{BinDir: binDir, LogDir: logs})
+	defer f.Stop()
+	if err != nil {
 		return err
 	}
-	op := pbconnect.NewOperatorServiceClient(http.DefaultClient, "http://127.0.1.1:8083")
-	if err := putInForce(ctx, op, string(data)); err != nil {
-		return fmt.Errorf("%w (logs in %s)", err, logs)
+	fmt.Printf("started %d nodes and %d upstreams as separate processes\n", len(f.Instances), len(f.Instances))
+	if err := show(ctx, f, in, string(text)); err != nil {
+		return fmt.Errorf("%w (process logs in %s)", err, logs)
 	}
-	return callEachRank(ctx, in)
+	return os.RemoveAll(logs)
 }
 
-func startFleet(l *fleet.Launcher, in *intent.Intent) error {
-	if _, err := l.Start("log", "mtlog", "--address", "127.0.0.1:8090"); err != nil {
+func show(ctx context.Context, f *fleet.Fleet, in *intent.Intent, text string) error {
+	confirmed, err := f.PutIntent(ctx, text, "demo")
+	if err != nil {
 		return err
 	}
-	for i, s := range in.Services {
-		ip := fmt.Sprintf("127.0.1.%d", i+1)
-		name := fmt.Sprintf("%s-1", s.Name)
-		if _, err := l.Start(name, "mtnode", "--node-id", name, "--failure-domain", "local",
-			"--caller-address", ip+":8080", "--peer-address", ip+":8081", "--local-address", ip+":8082",
-			"--admin-address", ip+":8083", "--log-url", "http://127.0.0.1:8090"); err != nil {
-			return err
-		}
-		if _, err := l.Start(name+"-upstream", "mtupstream", "--service", s.Name, "--address", ip+":8091",
-			"--announce-url", "http://"+ip+":8082/v1/announce"); err != nil {
+	fmt.Println("plan:", confirmed.PlanJSON)
+	fmt.Printf("intent confirmed: version %d, in effect at all %d nodes after %v\n",
+		confirmed.Version, len(f.Instances), confirmed.Everywhere.Round(time.Millisecond))
+	if err := f.WaitReady(ctx); err != nil {
+		return err
+	}
+	entry := f.Instances[len(f.Instances)-1]
+	var id string
+	for _, r := range in.Ranks {
+		if id, err = call(ctx, entry, in.Services[0].Name, r.Name); err != nil {
 			return err
 		}
 	}
-	return nil
+	return explain(ctx, entry, id)
 }
 
-func putInForce(ctx context.Context, op pbconnect.OperatorServiceClient, text string) error {
-	var proposal *connect.Response[pb.ProposeResponse]
-	var err error
-	for range 50 {
-		proposal, err = op.Propose(ctx, connect.NewRequest(&pb.ProposeRequest{IntentYaml: text, Operator: "demo"}))
-		if err == nil {
-			break
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
+// call sends one request and returns its id.
+func call(ctx context.Context, entry *fleet.Instance, service, rank string) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, entry.CallerURL()+"/hello", nil)
 	if err != nil {
-		return err
+		return "", err
 	}
-	fmt.Println("plan:", proposal.Msg.PlanJson)
-	confirmed, err := op.Confirm(ctx, connect.NewRequest(&pb.ConfirmRequest{
-		ProposalId: proposal.Msg.ProposalId, PlanDigest: proposal.Msg.PlanDigest, Operator: "demo",
-	}))
+	req.Header.Set(outcome.HeaderService, service)
+	req.Header.Set(outcome.HeaderRank, rank)
+	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return err
+		return "", err
 	}
-	fmt.Printf("confirmed: accepted=%v version=%d\n", confirmed.Msg.Accepted, confirmed.Msg.Version)
-	return nil
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return "", err
+	}
+	id := resp.Header.Get(outcome.HeaderRequestID)
+	fmt.Printf("call to %s, rank %s, through node %s: %s, outcome %s, served by %s\n", service, rank, entry.Name,
+		resp.Status, resp.Header.Get(outcome.HeaderOutcome), resp.Header.Get(outcome.HeaderServedBy))
+	if resp.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("rank %s: %s", rank, resp.Status)
+	}
+	return id, nil
 }
 
-func callEachRank(ctx context.Context, in *intent.Intent) error {
-	service := in.Services[0].Name
-	for _, r := range in.Ranks {
-		var resp *http.Response
-		for range 50 {
-			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://127.0.1.2:8080/hello", nil)
-			if err != nil {
-				return err
-			}
-			req.Header.Set("Mulberrytray-Service", service)
-			req.Header.Set("Mulberrytray-Rank", r.Name)
-			resp, err = http.DefaultClient.Do(req)
-			if err != nil {
-				return err
-			}
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				break
-			}
-			time.Sleep(100 * time.Millisecond)
-		}
-		fmt.Printf("call %s %s: %s outcome=%s served-by=%s\n", service, r.Name, resp.Status,
-			resp.Header.Get("Mulberrytray-Outcome"), resp.Header.Get("Mulberrytray-Served-By"))
-		if resp.StatusCode != http.StatusOK {
-			return fmt.Errorf("rank %s: %s", r.Name, resp.Status)
-		}
+func explain(ctx context.Context, entry *fleet.Instance, id string) error {
+	resp, err := entry.Operator().ExplainRequest(ctx, connect.NewRequest(&pb.ExplainRequestRequest{RequestId: id}))
+	if err != nil {
+		return err
+	}
+	fmt.Printf("explain %s:\n", id)
+	for _, d := range resp.Msg.Decisions {
+		fmt.Printf("  %s %s %s\n", d.Step, d.Upstream, d.Detail)
 	}
 	return nil
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,75 +1,269 @@
-// Package fleet starts a small fleet of nodes and stand-ins as separate
-// processes on loopback addresses, for demonstrations and failure runs.
 package fleet
 
 import (
+	"context"
+	"errors"
 	"fmt"
-	"os"
-	"os/exec"
-	"path/filepath"
+	"net/http"
+	"strconv"
 	"syscall"
 	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+	pbconnect "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1/mulberrytrayv1connect"
+)
+
+// Ports of a node and its stand-ins on their loopback address.
+const (
+	portCaller   = 8080
+	portPeer     = 8081
+	portLocal    = 8082
+	portAdmin    = 8083
+	portUpstream = 8091
+	portLog      = 8090
 )
 
-// Process is a running program.
-type Process struct {
-	Name string
-	cmd  *exec.Cmd
-	done chan struct{}
+// Instance is one VM: a node and the upstream beside it.
+type Instance struct {
+	Name          string
+	Service       string
+	FailureDomain string
+	IP            string
+	Node          *Process
+	Upstream      *Process
 }
 
-// Pid returns the process id.
-func (p *Process) Pid() int { return p.cmd.Process.Pid }
+// CallerURL returns the base URL of the node's caller listener.
+func (i *Instance) CallerURL() string { return i.url(portCaller) }
 
-// Signal sends a signal to the process.
-func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+// PeerURL returns the base URL of the node's peer listener.
+func (i *Instance) PeerURL() string { return i.url(portPeer) }
 
-// Wait waits until the process has ended, at most for the time given.
-func (p *Process) Wait(limit time.Duration) error {
-	select {
-	case <-p.done:
-		return nil
-	case <-time.After(limit):
-		return fmt.Errorf("%s did not end within %v", p.Name, limit)
-	}
+// AdminURL returns the base URL of the node's admin listener.
+func (i *Instance) AdminURL() string { return i.url(portAdmin) }
+
+// UpstreamURL returns the base URL of the upstream.
+func (i *Instance) UpstreamURL() string { return i.url(portUpstream) }
+
+func (i *Instance) url(port int) string { return fmt.Sprintf("http://%s:%d", i.IP, port) }
+
+func (i *Instance) address(port int) string { return fmt.Sprintf("%s:%d", i.IP, port) }
+
+// Operator returns a client of the node's operator interface.
+func (i *Instance) Operator() pbconnect.OperatorServiceClient {
+	return pbconnect.NewOperatorServiceClient(&http.Client{Timeout: 15 * time.Second}, i.AdminURL())
 }
 
-// Launcher starts processes from a directory of binaries and writes their
-// output to a directory of log files.
-type Launcher struct {
+// Options of a fleet.
+type Options struct {
 	BinDir string
+	// LogDir takes the output of the processes.
 	LogDir string
+	// NodeArgs and UpstreamArgs are added to the arguments of each process.
+	NodeArgs     []string
+	UpstreamArgs []string
+	LogArgs      []string
+}
+
+// Fleet is a running deployment. It is not safe for concurrent use, except that
+// different instances may be handled by different goroutines.
+type Fleet struct {
+	Deployment *Deployment
+	Instances  []*Instance
+	Log        *Process
+
+	opts     Options
+	launcher *Launcher
+}
 
-	processes []*Process
+// Start starts all processes of a deployment. Call Stop also after an error.
+func Start(d *Deployment, opts Options) (*Fleet, error) {
+	f := &Fleet{Deployment: d, opts: opts, launcher: &Launcher{BinDir: opts.BinDir, LogDir: opts.LogDir}}
+	if err := f.StartLog(); err != nil {
+		return f, err
+	}
+	counts := map[string]int{}
+	for n, spec := range d.Instances {
+		counts[spec.Service]++
+		i := &Instance{
+			Name:    spec.Service + "-" + strconv.Itoa(counts[spec.Service]),
+			Service: spec.Service, FailureDomain: spec.FailureDomain,
+			IP: fmt.Sprintf("%s.%d", d.AddressPrefix, n+1),
+		}
+		f.Instances = append(f.Instances, i)
+		if err := errors.Join(f.StartNode(i), f.StartUpstream(i)); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+// LogURL returns the base URL of the platform log's stand-in.
+func (f *Fleet) LogURL() string {
+	return fmt.Sprintf("http://%s.250:%d", f.Deployment.AddressPrefix, portLog)
+}
+
+// StartLog starts the stand-in of the platform's log.
+func (f *Fleet) StartLog() error {
+	args := append([]string{"--address", fmt.Sprintf("%s.250:%d", f.Deployment.AddressPrefix, portLog)}, f.opts.LogArgs...)
+	var err error
+	f.Log, err = f.launcher.Start("log", "mtlog", args...)
+	return err
+}
+
+// StartNode starts or restarts an instance's node.
+func (f *Fleet) StartNode(i *Instance) error {
+	args := append([]string{
+		"--node-id", i.Name, "--region", f.Deployment.Region, "--failure-domain", i.FailureDomain,
+		"--caller-address", i.address(portCaller), "--peer-address", i.address(portPeer),
+		"--local-address", i.address(portLocal), "--admin-address", i.address(portAdmin), "--log-url", f.LogURL(),
+	}, f.opts.NodeArgs...)
+	var err error
+	i.Node, err = f.launcher.Start(i.Name, "mtnode", args...)
+	return err
+}
+
+// StartUpstream starts or restarts an instance's upstream.
+func (f *Fleet) StartUpstream(i *Instance) error {
+	args := append([]string{
+		"--service", i.Service, "--address", i.address(portUpstream),
+		"--announce-url", i.url(portLocal) + "/v1/announce", "--slots", strconv.Itoa(f.Deployment.Slots),
+	}, f.opts.UpstreamArgs...)
+	var err error
+	i.Upstream, err = f.launcher.Start(i.Name+"-upstream", "mtupstream", args...)
+	return err
+}
+
+// StopNode stops an instance's node gracefully and waits for it.
+func (i *Instance) StopNode(limit time.Duration) error {
+	if err := i.Node.Signal(syscall.SIGTERM); err != nil {
+		return fmt.Errorf("stop node %s: %w", i.Name, err)
+	}
+	return i.Node.Wait(limit)
 }
 
-// Start starts a program.
-func (l *Launcher) Start(name, program string, args ...string) (*Process, error) {
-	out, err := os.Create(filepath.Join(l.LogDir, name+".log"))
+// StopUpstream stops an instance's upstream gracefully and waits for it.
+func (i *Instance) StopUpstream(limit time.Duration) error {
+	if err := i.Upstream.Signal(syscall.SIGTERM); err != nil {
+		return fmt.Errorf("stop upstream %s: %w", i.Name, err)
+	}
+	return i.Upstream.Wait(limit)
+}
+
+// Stop ends all processes.
+func (f *Fleet) Stop() { f.launcher.Stop() }
+
+// OfService returns the instances of a service.
+func (f *Fleet) OfService(service string) []*Instance {
+	var out []*Instance
+	for _, i := range f.Instances {
+		if i.Service == service {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+const pollInterval = 50 * time.Millisecond
+
+// WaitFor calls ready until it returns nil or the context ends; then it returns
+// the last error.
+func WaitFor(ctx context.Context, ready func() error) error {
+	for {
+		err := ready()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// Confirmed is the outcome of PutIntent.
+type Confirmed struct {
+	Version  uint64
+	PlanJSON string
+	// Everywhere is the time from the confirmation until all nodes had it in effect.
+	Everywhere time.Duration
+}
+
+// PutIntent proposes and confirms an intent at the first node, and waits until
+// all nodes have it in effect.
+func (f *Fleet) PutIntent(ctx context.Context, intentYAML, operator string) (Confirmed, error) {
+	op := f.Instances[0].Operator()
+	var proposal *connect.Response[pb.ProposeResponse]
+	err := WaitFor(ctx, func() (err error) {
+		proposal, err = op.Propose(ctx, connect.NewRequest(&pb.ProposeRequest{IntentYaml: intentYAML, Operator: operator}))
+		return err
+	})
 	if err != nil {
-		return nil, fmt.Errorf("start %s: %w", name, err)
+		return Confirmed{}, fmt.Errorf("propose: %w", err)
 	}
-	defer out.Close()
-	cmd := exec.Command(filepath.Join(l.BinDir, program), args...)
-	cmd.Stdout, cmd.Stderr = out, out
-	if err := cmd.Start(); err != nil {
-		return nil, fmt.Errorf("start %s: %w", name, err)
+	begin := time.Now()
+	confirmed, err := op.Confirm(ctx, connect.NewRequest(&pb.ConfirmRequest{
+		ProposalId: proposal.Msg.ProposalId, PlanDigest: proposal.Msg.PlanDigest, Operator: operator,
+	}))
+	if err != nil {
+		return Confirmed{}, fmt.Errorf("confirm: %w", err)
+	}
+	if !confirmed.Msg.Accepted {
+		return Confirmed{}, fmt.Errorf("confirm: refused: %s", confirmed.Msg.Reason)
+	}
+	err = f.WaitVersion(ctx, confirmed.Msg.Version)
+	return Confirmed{Version: confirmed.Msg.Version, PlanJSON: proposal.Msg.PlanJson, Everywhere: time.Since(begin)}, err
+}
+
+// WaitVersion waits until all running nodes have at least the version in effect.
+func (f *Fleet) WaitVersion(ctx context.Context, version uint64) error {
+	for _, i := range f.Instances {
+		err := WaitFor(ctx, func() error {
+			if !i.Node.Running() {
+				return nil
+			}
+			s, err := i.Operator().NodeStatus(ctx, connect.NewRequest(&pb.NodeStatusRequest{}))
+			if err != nil {
+				return err
+			}
+			if s.Msg.ConfigVersion < version {
+				return fmt.Errorf("node %s has version %d, not %d", i.Name, s.Msg.ConfigVersion, version)
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitReady waits until every node knows all upstreams as ready.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, i := range f.Instances {
+		if err := WaitFor(ctx, func() error { return f.knowsAll(ctx, i) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) knowsAll(ctx context.Context, i *Instance) error {
+	s, err := i.Operator().FleetStatus(ctx, connect.NewRequest(&pb.FleetStatusRequest{}))
+	if err != nil {
+		return err
 	}
-	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
-	go func() {
-		_ = cmd.Wait()
-		close(p.done)
-	}()
-	l.processes = append(l.processes, p)
-	return p, nil
-}
-
-// Stop kills all processes that still run and waits for them.
-func (l *Launcher) Stop() {
-	for _, p := range l.processes {
-		_ = p.cmd.Process.Kill()
+	ready := 0
+	for _, m := range s.Msg.Members {
+		if m.Status == pb.MemberStatus_MEMBER_STATUS_ALIVE && m.UpstreamState == pb.UpstreamState_UPSTREAM_STATE_READY {
+			ready++
+		}
 	}
-	for _, p := range l.processes {
-		<-p.done
+	if ready < len(f.Instances) {
+		return fmt.Errorf("node %s knows %d of %d upstreams as ready", i.Name, ready, len(f.Instances))
 	}
+	return nil
 }
--- /dev/null
+++ b/internal/loadgen/targets.go
@@ -0,0 +1,242 @@
+package loadgen
+
+import (
+	"bytes"
+	"container/heap"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/outcome"
+)
+
+// NewClient returns an HTTP client for load generation.
+func NewClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConns: 0, MaxIdleConnsPerHost: 2000, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+	}}
+}
+
+// post sends the class's request to the base URL and reads the whole answer.
+func post(ctx context.Context, client *http.Client, base string, c *Class) Reply {
+	var body io.Reader
+	if c.Body > 0 {
+		body = bytes.NewReader(make([]byte, c.Body))
+	}
+	req, err := http.NewRequestWithContext(ctx, c.Method, base+c.Path, body)
+	if err != nil {
+		return Reply{Err: err}
+	}
+	req.Header.Set(outcome.HeaderService, c.Service)
+	req.Header.Set(outcome.HeaderRank, c.Rank)
+	if c.Caller != "" {
+		req.Header.Set(outcome.HeaderCaller, c.Caller)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		ms := max(1, time.Until(deadline).Milliseconds())
+		req.Header.Set(outcome.HeaderTimeout, strconv.FormatInt(ms, 10))
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return Reply{Err: err}
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return Reply{
+		Status: resp.StatusCode, Err: err,
+		Outcome:  outcome.Outcome(resp.Header.Get(outcome.HeaderOutcome)),
+		Reason:   outcome.Reason(resp.Header.Get(outcome.HeaderReason)),
+		ServedBy: resp.Header.Get(outcome.HeaderServedBy),
+	}
+}
+
+// System sends each request to the caller listener of a random node.
+type System struct {
+	Client  *http.Client
+	Entries []string
+}
+
+// Send implements Target.
+func (s *System) Send(ctx context.Context, c *Class) Reply {
+	return post(ctx, s.Client, s.Entries[rand.IntN(len(s.Entries))], c)
+}
+
+// Policy chooses an upstream from own counts of requests in flight.
+type Policy func(turn uint64, inFlight []atomic.Int32) int
+
+// RoundRobin takes the upstreams in turn.
+func RoundRobin(turn uint64, inFlight []atomic.Int32) int {
+	return int(turn % uint64(len(inFlight)))
+}
+
+// Random takes any upstream.
+func Random(_ uint64, inFlight []atomic.Int32) int { return rand.IntN(len(inFlight)) }
+
+// TwoChoices takes the better one of two random upstreams.
+func TwoChoices(_ uint64, inFlight []atomic.Int32) int {
+	a, b := rand.IntN(len(inFlight)), rand.IntN(len(inFlight))
+	if inFlight[b].Load() < inFlight[a].Load() {
+		return b
+	}
+	return a
+}
+
+// Baseline sends requests straight to the upstreams by a simple policy. It has
+// several routers that don't share their counts, as separate nodes would not.
+type Baseline struct {
+	client    *http.Client
+	upstreams []string
+	policy    Policy
+	routers   []*router
+}
+
+type router struct {
+	turn     atomic.Uint64
+	inFlight []atomic.Int32
+}
+
+// NewBaseline returns a baseline with the number of routers given.
+func NewBaseline(client *http.Client, upstreams []string, routers int, p Policy) *Baseline {
+	b := &Baseline{client: client, upstreams: upstreams, policy: p}
+	for range routers {
+		r := &router{inFlight: make([]atomic.Int32, len(upstreams))}
+		r.turn.Store(rand.Uint64N(uint64(len(upstreams))))
+		b.routers = append(b.routers, r)
+	}
+	return b
+}
+
+// Send implements Target.
+func (b *Baseline) Send(ctx context.Context, c *Class) Reply {
+	r := b.routers[rand.IntN(len(b.routers))]
+	i := b.policy(r.turn.Add(1), r.inFlight)
+	r.inFlight[i].Add(1)
+	defer r.inFlight[i].Add(-1)
+	reply := post(ctx, b.client, b.upstreams[i], c)
+	reply.ServedBy = strconv.Itoa(i)
+	return reply
+}
+
+// Central is the ideal that no distributed system can have: one queue, ordered
+// by worth and arrival, in front of all slots of the upstreams.
+type Central struct {
+	client    *http.Client
+	upstreams []string
+
+	mu      sync.Mutex
+	free    []int
+	waiting waiters
+	arrival uint64
+}
+
+// NewCentral returns a central queue in front of upstreams with the slots given.
+func NewCentral(client *http.Client, upstreams []string, slots int) *Central {
+	c := &Central{client: client, upstreams: upstreams}
+	for range upstreams {
+		c.free = append(c.free, slots)
+	}
+	return c
+}
+
+// Send implements Target.
+func (q *Central) Send(ctx context.Context, c *Class) Reply {
+	i, err := q.acquire(ctx, c.Worth)
+	if err != nil {
+		return Reply{Err: err, Outcome: outcome.NotRun}
+	}
+	defer q.release(i)
+	reply := post(ctx, q.client, q.upstreams[i], c)
+	reply.ServedBy = strconv.Itoa(i)
+	return reply
+}
+
+func (q *Central) acquire(ctx context.Context, worth float64) (int, error) {
+	q.mu.Lock()
+	if i := q.take(); i >= 0 {
+		q.mu.Unlock()
+		return i, nil
+	}
+	q.arrival++
+	w := &waiter{worth: worth, arrival: q.arrival, granted: make(chan int, 1)}
+	heap.Push(&q.waiting, w)
+	q.mu.Unlock()
+	select {
+	case i := <-w.granted:
+		return i, nil
+	case <-ctx.Done():
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if w.index >= 0 {
+		heap.Remove(&q.waiting, w.index)
+		return 0, fmt.Errorf("central queue: %w", ctx.Err())
+	}
+	return <-w.granted, nil
+}
+
+// take takes a slot of the upstream with the most free ones, or returns -1.
+func (q *Central) take() int {
+	best := 0
+	for i := range q.free {
+		if q.free[i] > q.free[best] {
+			best = i
+		}
+	}
+	if q.free[best] == 0 {
+		return -1
+	}
+	q.free[best]--
+	return best
+}
+
+func (q *Central) release(i int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.waiting) == 0 {
+		q.free[i]++
+		return
+	}
+	w := heap.Pop(&q.waiting).(*waiter)
+	w.granted <- i
+}
+
+// waiter is a request in the central queue. Its index is -1 once it was granted.
+type waiter struct {
+	worth   float64
+	arrival uint64
+	granted chan int
+	index   int
+}
+
+// waiters implements heap.Interface.
+type waiters []*waiter
+
+func (w waiters) Len() int { return len(w) }
+func (w waiters) Less(i, j int) bool {
+	if w[i].worth != w[j].worth {
+		return w[i].worth > w[j].worth
+	}
+	return w[i].arrival < w[j].arrival
+}
+func (w waiters) Swap(i, j int) {
+	w[i], w[j] = w[j], w[i]
+	w[i].index, w[j].index = i, j
+}
+func (w *waiters) Push(x any) {
+	e := x.(*waiter)
+	e.index = len(*w)
+	*w = append(*w, e)
+}
+func (w *waiters) Pop() any {
+	old := *w
+	e := old[len(old)-1]
+	*w = old[:len(old)-1]
+	e.index = -1
+	return e
+}
