--- /dev/null
+++ b/internal/history/history_test.go
@@ -0,0 +1,71 @@
+package history
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/outcome"
+)
+
+// Guards against checkers that accept a broken history, and against ones that
+// reject an allowed history.
+func TestCheckers(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	ok := Send{RequestID: "r1", Operation: "o1", Token: "t", Status: 200, Outcome: outcome.Run, Complete: true, WantBody: "a", GotBody: "a"}
+	refused := Send{RequestID: "r2", Operation: "o1", Token: "t", Status: 503, Outcome: outcome.NotRun, Complete: true}
+	exec := func(id, up string, at time.Time) Execution {
+		return Execution{Upstream: up, RequestID: id, Operation: "o1", Start: at}
+	}
+	tests := []struct {
+		desc  string
+		h     *History
+		check func(*History) []Violation
+		want  int
+	}{
+		{"not run and not executed", &History{Sends: []Send{refused}}, (*History).NotRunMeansNotRun, 0},
+		{"not run but executed", &History{Sends: []Send{refused}, Executions: []Execution{exec("r2", "u", t0)}}, (*History).NotRunMeansNotRun, 1},
+		{"one execution", &History{Sends: []Send{ok, refused}, Executions: []Execution{exec("r1", "u", t0)}}, (*History).AtMostOnce, 0},
+		{"two executions of one token", &History{Sends: []Send{ok, refused}, Executions: []Execution{exec("r1", "u", t0), exec("r2", "v", t0)}}, (*History).AtMostOnce, 1},
+		{
+			"two executions of one send without token",
+			&History{Sends: []Send{{RequestID: "r3"}}, Executions: []Execution{exec("r3", "u", t0), exec("r3", "v", t0)}}, (*History).AtMostOnce, 1,
+		},
+		{
+			"two executions of an idempotent send",
+			&History{Sends: []Send{{RequestID: "r3", Idempotent: true}}, Executions: []Execution{exec("r3", "u", t0), exec("r3", "v", t0)}}, (*History).AtMostOnce, 0,
+		},
+		{"own answer", &History{Sends: []Send{ok}}, (*History).WholeAnswers, 0},
+		{
+			"answer to another request",
+			&History{Sends: []Send{{Status: 200, Complete: true, WantBody: "a", GotBody: "b"}}}, (*History).WholeAnswers, 1,
+		},
+		{"refused is not cut", &History{Sends: []Send{ok, refused}}, (*History).NothingCut, 0},
+		{"cut answer", &History{Sends: []Send{{Status: 200, Outcome: outcome.Run}}}, (*History).NothingCut, 1},
+		{"unknown outcome", &History{Sends: []Send{{Status: 502, Outcome: outcome.Unknown, Complete: true}}}, (*History).NothingCut, 1},
+		{
+			"work within the bound",
+			&History{Departures: []Departure{{"u", t0}}, Executions: []Execution{exec("r", "u", t0.Add(2*time.Second))}},
+			func(h *History) []Violation { return h.NoLateWork(3 * time.Second) }, 0,
+		},
+		{
+			"work after the bound",
+			&History{Departures: []Departure{{"u", t0}}, Executions: []Execution{exec("r", "u", t0.Add(4*time.Second))}},
+			func(h *History) []Violation { return h.NoLateWork(3 * time.Second) }, 1,
+		},
+		{
+			"versions grow",
+			&History{Installs: []Installed{{"n", 1, t0}, {"n", 2, t0.Add(1)}, {"m", 1, t0.Add(2)}}}, (*History).NeverReverts, 0,
+		},
+		{
+			"version goes down",
+			&History{Installs: []Installed{{"n", 2, t0}, {"n", 1, t0.Add(1)}}}, (*History).NeverReverts, 1,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			if got := tt.check(tt.h); len(got) != tt.want {
+				t.Errorf("got %d violations %v, want %d", len(got), got, tt.want)
+			}
+		})
+	}
+}
