Add the quarantine of requests that crash their upstream

Guard.Wrap makes all requests in flight suspects when the upstream crashes, and holds back their answers until the report is acknowledged or 300 ms passed. A suspect runs alone on the designated sidecar. A trial waits at most 1 s for the requests in flight, because it holds up all others. A request of unknown outcome counts as in flight for another 100 ms, since an upstream may still be working on a cancelled request.

--- /dev/null
+++ b/pkg/quarantine/guard.go
@@ -0,0 +1,347 @@
+package quarantine
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+	"github.com/mulberrytray/mulberrytray/pkg/event"
+	"github.com/mulberrytray/mulberrytray/pkg/outcome"
+)
+
+// HeaderIsolate names the only node that runs the refused suspect.
+const HeaderIsolate = "Mulberrytray-Isolate"
+
+const (
+	// ReportTimeout bounds how long a failed request waits for acknowledgements.
+	ReportTimeout = 300 * time.Millisecond
+	// DefaultTrialWait bounds how long other requests wait behind a trial that waits for requests in flight.
+	DefaultTrialWait = time.Second
+	// DefaultLinger covers the time that an upstream goes on working on a cancelled request.
+	DefaultLinger = 100 * time.Millisecond
+
+	// allRequests is the weight of a trial. It is above any number of slots.
+	allRequests = 1 << 20
+	// maxLingering bounds the cancelled requests that are remembered.
+	maxLingering = 1024
+	// refusalRetryAfter is sent while no sidecar can run a suspect.
+	refusalRetryAfter = time.Second
+)
+
+// Broadcaster reports fingerprints to all other sidecars of a service.
+type Broadcaster interface {
+	// Report returns when the reachable sidecars have applied the entries, or when
+	// ctx ends. It is safe for concurrent use.
+	Report(ctx context.Context, service string, entries []*pb.QuarantineEntry) error
+}
+
+// Config holds the settings of a Guard.
+type Config struct {
+	// Service returns the service of the local upstream.
+	Service func() string
+	// Designated returns the node that runs a suspect and whether this node is the one. It
+	// returns "" if no sidecar of the service is ready.
+	Designated func(fingerprint uint64) (nodeID string, self bool)
+	// Crashed reports whether the upstream has crashed. It is called when an answer is aborted.
+	Crashed func() bool
+	// TrialWait bounds the wait of a trial for the requests in flight. Default 1 s.
+	TrialWait time.Duration
+	// Linger is how long a request of unknown outcome still counts as in flight. Default 100 ms.
+	Linger time.Duration
+}
+
+// Guard applies the quarantine to the requests of one upstream. It is safe for
+// concurrent use.
+type Guard struct {
+	cfg    Config
+	table  *Table
+	peers  Broadcaster
+	events *event.Logger
+
+	// running admits all requests with weight 1, or one trial with the whole weight.
+	running *semaphore.Weighted
+	clears  sync.WaitGroup
+
+	mu        sync.Mutex
+	inFlight  map[*call]struct{}
+	lingering []lingeringCall
+}
+
+// call is a request in flight.
+type call struct {
+	fingerprint uint64
+	tracked     bool
+	trial       bool
+	// crash is the crash that the request was in flight with. Guard.mu guards it.
+	crash *crash
+}
+
+// crash is one crash of the upstream.
+type crash struct {
+	// reported is closed when the peers have acknowledged the suspects.
+	reported chan struct{}
+}
+
+type lingeringCall struct {
+	fingerprint uint64
+	until       time.Time
+}
+
+// NewGuard returns a guard with nothing in flight.
+func NewGuard(cfg Config, t *Table, b Broadcaster, events *event.Logger) *Guard {
+	if cfg.TrialWait <= 0 {
+		cfg.TrialWait = DefaultTrialWait
+	}
+	if cfg.Linger <= 0 {
+		cfg.Linger = DefaultLinger
+	}
+	return &Guard{
+		cfg: cfg, table: t, peers: b, events: events,
+		running: semaphore.NewWeighted(allRequests), inFlight: map[*call]struct{}{},
+	}
+}
+
+// Wait waits until all clearances have been reported. Each takes at most ReportTimeout.
+func (g *Guard) Wait() { g.clears.Wait() }
+
+// Wrap returns a handler that runs requests in next. Next must state the outcome
+// and, for a request that was running when the upstream crashed, the reason
+// upstream-crashed. A request without a fingerprint is never suspect itself, but
+// it waits for trials, and its crash makes the others in flight suspects.
+func (g *Guard) Wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, p := newCall(r)
+		isolate := ""
+		if p == nil {
+			isolate, p = g.admit(r.Context(), c)
+		}
+		if p != nil {
+			if isolate != "" {
+				w.Header().Set(HeaderIsolate, isolate)
+			}
+			p.Write(w)
+			return
+		}
+		g.run(w, r, c, next)
+	})
+}
+
+func newCall(r *http.Request) (*call, *outcome.Problem) {
+	text := r.Header.Get(outcome.HeaderFingerprint)
+	if text == "" {
+		return &call{}, nil
+	}
+	f, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return nil, outcome.New(http.StatusBadRequest, outcome.ReasonBadRequest, outcome.NotRun, "invalid fingerprint").WithField(outcome.HeaderFingerprint)
+	}
+	return &call{fingerprint: f, tracked: true}, nil
+}
+
+// admit waits until the call may run and adds it to those in flight. The state of
+// its fingerprint can change during the wait, so it is checked again afterwards.
+// If the call may run on another node only, isolate is that node.
+func (g *Guard) admit(ctx context.Context, c *call) (isolate string, p *outcome.Problem) {
+	for {
+		c.trial = c.tracked && g.table.State(c.fingerprint) == StateSuspect
+		if isolate, p = g.refuse(c); p != nil {
+			return isolate, p
+		}
+		if err := g.acquire(ctx, c); err != nil {
+			return "", waitProblem(ctx)
+		}
+		if g.start(c) {
+			return "", nil
+		}
+		g.running.Release(c.weight())
+	}
+}
+
+func (c *call) weight() int64 {
+	if c.trial {
+		return allRequests
+	}
+	return 1
+}
+
+// refuse returns why the call must not run here, or nil.
+func (g *Guard) refuse(c *call) (isolate string, p *outcome.Problem) {
+	if c.tracked && g.table.State(c.fingerprint) == StateBlocked {
+		return "", outcome.New(http.StatusUnprocessableEntity, outcome.ReasonQuarantined, outcome.NotRun,
+			"the request is blocked because it crashed upstreams")
+	}
+	if !c.trial {
+		return "", nil
+	}
+	node, self := g.cfg.Designated(c.fingerprint)
+	if self {
+		return "", nil
+	}
+	p = outcome.New(http.StatusServiceUnavailable, outcome.ReasonQuarantined, outcome.NotRun,
+		"the request is a crash suspect and runs on one node only")
+	if node == "" {
+		p = p.WithRetryAfter(refusalRetryAfter)
+	}
+	return node, p
+}
+
+// acquire waits for the semaphore. A trial also waits until cancelled requests no longer linger.
+func (g *Guard) acquire(ctx context.Context, c *call) error {
+	if !c.trial {
+		return g.running.Acquire(ctx, 1)
+	}
+	ctx, cancel := context.WithTimeout(ctx, g.cfg.TrialWait)
+	defer cancel()
+	if err := g.running.Acquire(ctx, allRequests); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	g.prune()
+	wait := time.Duration(0)
+	if n := len(g.lingering); n > 0 {
+		wait = time.Until(g.lingering[n-1].until)
+	}
+	g.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		g.running.Release(allRequests)
+		return ctx.Err()
+	case <-time.After(wait):
+		return nil
+	}
+}
+
+// start adds the call to those in flight unless its state has changed.
+func (g *Guard) start(c *call) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.tracked {
+		s := g.table.State(c.fingerprint)
+		if s == StateBlocked || (s == StateSuspect) != c.trial {
+			return false
+		}
+	}
+	g.inFlight[c] = struct{}{}
+	return true
+}
+
+func waitProblem(ctx context.Context) *outcome.Problem {
+	switch ctx.Err() {
+	case context.DeadlineExceeded:
+		return outcome.New(http.StatusGatewayTimeout, outcome.ReasonDeadline, outcome.NotRun, "the deadline passed while a crash suspect was running")
+	case context.Canceled:
+		return outcome.New(http.StatusServiceUnavailable, outcome.ReasonCancelled, outcome.NotRun, "cancelled while a crash suspect was running")
+	}
+	return outcome.New(http.StatusServiceUnavailable, outcome.ReasonQuarantined, outcome.NotRun,
+		"the requests in flight did not end in time for a trial").WithRetryAfter(refusalRetryAfter)
+}
+
+func (g *Guard) run(w http.ResponseWriter, r *http.Request, c *call, next http.Handler) {
+	gate := &gate{ResponseWriter: w, crashed: func() { g.crashed(c) }}
+	returned := false
+	// Deferred so that a panic in next also releases the weight.
+	defer func() {
+		if !returned && g.cfg.Crashed() {
+			g.crashed(c)
+		}
+		g.finish(c, gate.outcome(returned))
+	}()
+	next.ServeHTTP(gate, r)
+	returned = true
+}
+
+// finish removes the call from those in flight and clears a trial that was run.
+func (g *Guard) finish(c *call, o outcome.Outcome) {
+	g.mu.Lock()
+	delete(g.inFlight, c)
+	survived := c.crash == nil
+	if c.tracked && survived && o == outcome.Unknown {
+		g.prune()
+		if len(g.lingering) < maxLingering {
+			g.lingering = append(g.lingering, lingeringCall{c.fingerprint, time.Now().Add(g.cfg.Linger)})
+		}
+	}
+	g.mu.Unlock()
+	if c.trial && survived && o == outcome.Run {
+		g.clear(c.fingerprint)
+	}
+	g.running.Release(c.weight())
+}
+
+// clear doesn't wait for the peers: until they know, they send the request to
+// this node, which runs it.
+func (g *Guard) clear(fingerprint uint64) {
+	e := g.table.clear(fingerprint)
+	if e == nil {
+		return
+	}
+	g.events.Emit(event.RequestCleared, event.Fields{"fingerprint": strconv.FormatUint(fingerprint, 16)})
+	g.clears.Go(func() { g.report([]*pb.QuarantineEntry{e}) })
+}
+
+// crashed returns when the peers know of all requests that were in flight.
+func (g *Guard) crashed(c *call) {
+	g.mu.Lock()
+	known := c.crash
+	if known != nil {
+		g.mu.Unlock()
+		<-known.reported
+		return
+	}
+	ev := &crash{reported: make(chan struct{})}
+	entries := g.suspects(c, ev)
+	g.mu.Unlock()
+	defer close(ev.reported)
+	g.events.Emit(event.UpstreamCrashed, event.Fields{"suspects": len(entries)})
+	if len(entries) > 0 {
+		g.report(entries)
+	}
+}
+
+// suspects marks all calls in flight as part of the crash and returns their
+// entries. The caller holds mu.
+func (g *Guard) suspects(failed *call, ev *crash) []*pb.QuarantineEntry {
+	fingerprints := map[uint64]State{}
+	for c := range g.inFlight {
+		c.crash = ev
+		if c.tracked {
+			fingerprints[c.fingerprint] = StateSuspect
+		}
+	}
+	g.prune()
+	for _, l := range g.lingering {
+		fingerprints[l.fingerprint] = StateSuspect
+	}
+	g.lingering = nil
+	if failed.trial && len(g.inFlight) == 1 && len(fingerprints) == 1 {
+		fingerprints[failed.fingerprint] = StateBlocked
+		g.events.Emit(event.RequestBlocked, event.Fields{"fingerprint": strconv.FormatUint(failed.fingerprint, 16)})
+	}
+	var entries []*pb.QuarantineEntry
+	for f, s := range fingerprints {
+		entries = append(entries, g.table.crashed(f, s))
+	}
+	return entries
+}
+
+// prune removes what no longer lingers. The caller holds mu.
+func (g *Guard) prune() {
+	now := time.Now()
+	n := 0
+	for n < len(g.lingering) && !now.Before(g.lingering[n].until) {
+		n++
+	}
+	g.lingering = g.lingering[n:]
+}
+
+func (g *Guard) report(entries []*pb.QuarantineEntry) {
+	ctx, cancel := context.WithTimeout(context.Background(), ReportTimeout)
+	defer cancel()
+	// Peers that didn't acknowledge are treated as unreachable; gossip reaches them later.
+	_ = g.peers.Report(ctx, g.cfg.Service(), entries)
+}
--- /dev/null
+++ b/pkg/quarantine/guard_test.go
@@ -0,0 +1,266 @@
+package quarantine
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+	"github.com/mulberrytray/mulberrytray/pkg/event"
+	"github.com/mulberrytray/mulberrytray/pkg/outcome"
+)
+
+// reports counts reports, each of which takes the time given.
+type reports struct {
+	takes time.Duration
+	count atomic.Int32
+}
+
+func (r *reports) Report(context.Context, string, []*pb.QuarantineEntry) error {
+	time.Sleep(r.takes)
+	r.count.Add(1)
+	return nil
+}
+
+func newGuard(b Broadcaster, crashed bool) (*Guard, *Table) {
+	table := NewTable(TableConfig{})
+	return NewGuard(Config{
+		Service:    func() string { return "kasse" },
+		Designated: func(uint64) (string, bool) { return "n0", true },
+		Crashed:    func() bool { return crashed },
+	}, table, b, event.Discard()), table
+}
+
+func suspect(t *Table, fingerprint uint64) {
+	t.Apply([]*pb.QuarantineEntry{{Fingerprint: fingerprint, State: StateSuspect, Crashes: 1}})
+}
+
+// serve sends a request with the fingerprint and returns the status, 0 if aborted.
+func serve(ctx context.Context, h http.Handler, fingerprint string) (status int) {
+	r := httptest.NewRequest(http.MethodPost, "/", nil).WithContext(ctx)
+	r.Header.Set(outcome.HeaderFingerprint, fingerprint)
+	w := httptest.NewRecorder()
+	defer func() {
+		if recover() != nil {
+			status = 0
+		}
+	}()
+	h.ServeHTTP(w, r)
+	return w.Code
+}
+
+func answer(w http.ResponseWriter, status int, reason outcome.Reason, o outcome.Outcome) {
+	outcome.New(status, reason, o, "").Write(w)
+}
+
+// Guards against several reports of one crash, and against a failed or aborted
+// request that its caller sees before the report is acknowledged.
+func TestOneReportPerCrash(t *testing.T) {
+	for _, c := range []struct {
+		desc  string
+		abort bool
+	}{{"answered", false}, {"aborted", true}} {
+		t.Run(c.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := &reports{takes: 100 * time.Millisecond}
+				g, table := newGuard(b, c.abort)
+				dies := make(chan struct{})
+				h := g.Wrap(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					<-dies
+					if c.abort {
+						panic(http.ErrAbortHandler)
+					}
+					answer(w, http.StatusBadGateway, outcome.ReasonUpstreamCrashed, outcome.Unknown)
+				}))
+				start := time.Now()
+				var answered atomic.Int32
+				for _, f := range []string{"1", "2", "3", ""} {
+					go func() {
+						serve(t.Context(), h, f)
+						if time.Since(start) < b.takes {
+							t.Error("answered before the report was acknowledged")
+						}
+						answered.Add(1)
+					}()
+				}
+				synctest.Wait()
+				close(dies)
+				time.Sleep(2 * b.takes)
+				if b.count.Load() != 1 || answered.Load() != 4 {
+					t.Errorf("%d reports, %d answers", b.count.Load(), answered.Load())
+				}
+				for f := range uint64(3) {
+					if s := table.State(f + 1); s != StateSuspect {
+						t.Errorf("fingerprint %d is %v", f+1, s)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a trial beside other requests, and against a wrong verdict.
+func TestTrial(t *testing.T) {
+	for _, c := range []struct {
+		desc    string
+		status  int
+		reason  outcome.Reason
+		outcome outcome.Outcome
+		want    State
+		second  int
+		runs    int32
+	}{
+		{"survives", 200, "", outcome.Run, StateCleared, 200, 3},
+		{"crashes", 502, outcome.ReasonUpstreamCrashed, outcome.Unknown, StateBlocked, 422, 1},
+		{"not run", 503, outcome.ReasonLeaseLapsed, outcome.NotRun, StateSuspect, 503, 3},
+		{"not run after a crash", 503, outcome.ReasonUpstreamCrashed, outcome.NotRun, StateSuspect, 503, 3},
+		{"unknown", 504, outcome.ReasonDeadline, outcome.Unknown, StateSuspect, 504, 3},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, table := newGuard(&reports{}, false)
+				suspect(table, 7)
+				var running, runs atomic.Int32
+				h := g.Wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					alone := running.Add(1) == 1
+					defer running.Add(-1)
+					trial := table.State(7) == StateSuspect
+					if r.Header.Get(outcome.HeaderFingerprint) != "7" {
+						time.Sleep(50 * time.Millisecond)
+						return
+					}
+					runs.Add(1)
+					if trial && !alone {
+						t.Error("a trial runs beside other requests")
+					}
+					time.Sleep(10 * time.Millisecond)
+					answer(w, c.status, c.reason, c.outcome)
+				}))
+				go serve(t.Context(), h, "1")
+				go serve(t.Context(), h, "")
+				synctest.Wait()
+				if got := serve(t.Context(), h, "7"); got != c.status {
+					t.Errorf("first: status %d, want %d", got, c.status)
+				}
+				results := make(chan int, 2)
+				for range 2 {
+					go func() { results <- serve(t.Context(), h, "7") }()
+				}
+				for range 2 {
+					if got := <-results; got != c.second {
+						t.Errorf("later: status %d, want %d", got, c.second)
+					}
+				}
+				g.Wait()
+				if s := table.State(7); s != c.want || runs.Load() != c.runs {
+					t.Errorf("state %v after %d runs, want %v after %d", s, runs.Load(), c.want, c.runs)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a trial that ignores its caller's cancellation or blocks the
+// upstream without limit, and against running a request with a bad fingerprint.
+func TestRefusals(t *testing.T) {
+	for _, c := range []struct {
+		desc, fingerprint string
+		cancel            time.Duration
+		status            int
+		after             time.Duration
+	}{
+		{"cancelled while waiting", "7", 10 * time.Millisecond, 504, 10 * time.Millisecond},
+		{"requests in flight don't end", "7", time.Minute, 503, DefaultTrialWait},
+		{"invalid fingerprint", "xyz", time.Minute, 400, 0},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, table := newGuard(&reports{}, false)
+				suspect(table, 7)
+				h := g.Wrap(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(5 * time.Second) }))
+				var inFlight sync.WaitGroup
+				inFlight.Go(func() { serve(t.Context(), h, "1") })
+				defer inFlight.Wait()
+				synctest.Wait()
+				ctx, cancel := context.WithTimeout(t.Context(), c.cancel)
+				defer cancel()
+				start := time.Now()
+				if got := serve(ctx, h, c.fingerprint); got != c.status || time.Since(start) != c.after {
+					t.Errorf("status %d after %v, want %d after %v", got, time.Since(start), c.status, c.after)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a request that escapes suspicion because its caller cancelled
+// it just before the upstream died.
+func TestCancelledRequestIsSuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, table := newGuard(&reports{}, false)
+		h := g.Wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(outcome.HeaderFingerprint) == "2" {
+				answer(w, 502, outcome.ReasonUpstreamCrashed, outcome.Unknown)
+				return
+			}
+			answer(w, 503, outcome.ReasonCancelled, outcome.Unknown)
+		}))
+		serve(t.Context(), h, "1")
+		time.Sleep(DefaultLinger / 2)
+		serve(t.Context(), h, "2")
+		if s := table.State(1); s != StateSuspect {
+			t.Errorf("state %v", s)
+		}
+	})
+}
+
+// Guards against reports that are merged wrongly, expire wrongly or fill the memory.
+func TestTable(t *testing.T) {
+	const never = -1
+	for _, c := range []struct {
+		desc    string
+		reports []State
+		want    State
+		expires time.Duration
+	}{
+		{"suspect", []State{StateSuspect}, StateSuspect, DefaultSuspectTTL},
+		{"cleared", []State{StateSuspect, StateCleared}, StateCleared, DefaultSuspectTTL},
+		{"suspect again", []State{StateSuspect, StateCleared, StateSuspect}, StateSuspect, DefaultSuspectTTL},
+		{"cleared without suspicion", []State{StateCleared}, StateNone, never},
+		{"blocked", []State{StateBlocked}, StateBlocked, DefaultBlockedTTL},
+		{"blocked prevails", []State{StateBlocked, StateSuspect, StateCleared}, StateBlocked, DefaultBlockedTTL},
+		{"unknown state", []State{99}, StateNone, never},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := NewTable(TableConfig{})
+				for _, s := range c.reports {
+					table.Apply([]*pb.QuarantineEntry{{Fingerprint: 1, State: s, TtlMs: 1 << 31}})
+				}
+				if c.expires != never {
+					time.Sleep(c.expires - time.Nanosecond)
+				}
+				if s := table.State(1); s != c.want {
+					t.Fatalf("state %v, want %v", s, c.want)
+				}
+				time.Sleep(time.Nanosecond)
+				if s := table.State(1); s != StateNone {
+					t.Errorf("state %v after expiry", s)
+				}
+			})
+		})
+	}
+	table := NewTable(TableConfig{MaxEntries: 10})
+	table.Apply([]*pb.QuarantineEntry{{Fingerprint: 1000, State: StateBlocked}})
+	for f := range uint64(100) {
+		suspect(table, f)
+	}
+	if table.Len() != 10 || table.State(1000) != StateBlocked {
+		t.Errorf("%d entries, blocked one is %v", table.Len(), table.State(1000))
+	}
+}
