--- a/cmd/mtupstream/main.go
+++ b/cmd/mtupstream/main.go
@@ -25,7 +25,10 @@
 			&cli.StringFlag{Name: "service", Required: true, Usage: "name of the service"},
 			&cli.StringFlag{Name: "announce-url", Required: true, Usage: "announcement endpoint of the node beside the upstream"},
 			&cli.IntFlag{Name: "slots", Value: 10, Usage: "requests served at the same time"},
-			&cli.DurationFlag{Name: "service-time", Value: 5 * time.Millisecond, Usage: "time per request"},
+			&cli.DurationFlag{Name: "service-time", Value: 5 * time.Millisecond, Usage: "mean time per request"},
+			&cli.StringFlag{Name: "node-url", Usage: "caller listener of the node beside the upstream, for X-Call"},
+			&cli.DurationFlag{Name: "cold-start", Usage: "time in which the upstream is warming and slower"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of random service times and faults"},
 		},
 		Action: run,
 	}
@@ -39,6 +42,7 @@
 	s := upstream.New(upstream.Config{
 		Service: c.String("service"), Address: c.String("address"), AnnounceURL: c.String("announce-url"),
 		Slots: c.Int("slots"), ServiceTime: c.Duration("service-time"),
+		NodeURL: c.String("node-url"), ColdStart: c.Duration("cold-start"), Seed: c.Uint64("seed"),
 	})
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- /dev/null
+++ b/internal/standin/upstream/faults.go
@@ -0,0 +1,145 @@
+package upstream
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"time"
+)
+
+// Distributions of the service time.
+const (
+	Constant    = "constant"
+	Exponential = "exponential"
+	LogNormal   = "lognormal"
+)
+
+const (
+	// Stalls are those of a noisy neighbour.
+	minStall = 5 * time.Millisecond
+	maxStall = 50 * time.Millisecond
+	// coldFactor is the slowdown at the start of a cold start. It falls linearly to 1.
+	coldFactor = 4.0
+	// maxFaultsBytes bounds the body of PUT /faults.
+	maxFaultsBytes = 4 << 10
+)
+
+// Faults are what PUT /faults changes. Each call replaces all of them.
+type Faults struct {
+	// ServiceTimeMs is the mean service time.
+	ServiceTimeMs float64 `json:"service_time_ms"`
+	// Distribution of the service time. Default constant.
+	Distribution string `json:"distribution"`
+	// Sigma of the lognormal distribution.
+	Sigma float64 `json:"sigma"`
+	// SlowFactor multiplies the service time. 0 means 1.
+	SlowFactor float64 `json:"slow_factor"`
+	// StallProbability is the share of requests that stall for 5 to 50 ms.
+	StallProbability float64 `json:"stall_probability"`
+	// FailProbability is the share of requests answered with 500 at once.
+	FailProbability float64 `json:"fail_probability"`
+	// Shed refuses requests at once when all slots are taken.
+	Shed bool `json:"shed"`
+	// LoadLagMs is the age that a load report may reach.
+	LoadLagMs float64 `json:"load_lag_ms"`
+	// LoadFactor multiplies the reported load. 0 means 1.
+	LoadFactor float64 `json:"load_factor"`
+}
+
+// Validate reports the first invalid field.
+func (f Faults) Validate() error {
+	switch {
+	case f.Distribution != "" && f.Distribution != Constant && f.Distribution != Exponential && f.Distribution != LogNormal:
+		return fmt.Errorf("distribution %q: must be constant, exponential or lognormal", f.Distribution)
+	case f.StallProbability < 0 || f.StallProbability > 1 || f.FailProbability < 0 || f.FailProbability > 1:
+		return fmt.Errorf("probabilities must be between 0 and 1")
+	case f.ServiceTimeMs < 0 || f.Sigma < 0 || f.SlowFactor < 0 || f.LoadLagMs < 0 || f.LoadFactor < 0:
+		return fmt.Errorf("numbers must not be negative")
+	}
+	return nil
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) error {
+	if err := f.Validate(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	return nil
+}
+
+func (s *Server) currentFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// serveFaults handles PUT /faults.
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	d := json.NewDecoder(io.LimitReader(r.Body, maxFaultsBytes))
+	d.DisallowUnknownFields()
+	err := d.Decode(&f)
+	if err == nil {
+		err = s.SetFaults(f)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, f)
+}
+
+// draw returns the time that a request takes and whether it fails fast.
+func (s *Server) draw() (work time.Duration, fail bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults
+	ms := f.ServiceTimeMs
+	switch f.Distribution {
+	case Exponential:
+		ms *= s.rng.ExpFloat64()
+	case LogNormal:
+		// The shift by sigma²/2 keeps the mean at ServiceTimeMs.
+		ms *= math.Exp(f.Sigma*s.rng.NormFloat64() - f.Sigma*f.Sigma/2)
+	}
+	if f.SlowFactor > 0 {
+		ms *= f.SlowFactor
+	}
+	if left := s.cfg.ColdStart - time.Since(s.start); left > 0 {
+		ms *= 1 + (coldFactor-1)*float64(left)/float64(s.cfg.ColdStart)
+	}
+	work = time.Duration(ms * float64(time.Millisecond))
+	if s.rng.Float64() < f.StallProbability {
+		work += minStall + time.Duration(s.rng.Int64N(int64(maxStall-minStall)))
+	}
+	return work, s.rng.Float64() < f.FailProbability
+}
+
+// Load is the answer of GET /load.
+type Load struct {
+	InFlight int `json:"in_flight"`
+	Queued   int `json:"queued"`
+	Slots    int `json:"slots"`
+}
+
+// serveLoad handles GET /load. The report lags or lies as the faults say.
+func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	lag := time.Duration(s.faults.LoadLagMs * float64(time.Millisecond))
+	if s.loadAt.IsZero() || time.Since(s.loadAt) >= lag {
+		s.load = Load{InFlight: len(s.slots), Queued: int(s.waiting.Load()), Slots: s.cfg.Slots}
+		s.loadAt = time.Now()
+	}
+	l, factor := s.load, s.faults.LoadFactor
+	s.mu.Unlock()
+	if factor > 0 {
+		l.InFlight = int(float64(l.InFlight) * factor)
+		l.Queued = int(float64(l.Queued) * factor)
+	}
+	writeJSON(w, l)
+}
