Make Config.Crashed of the quarantine optional

Cause: a guard without Crashed panicked on the first aborted answer. Change: the default reports no crash. Conclusion: answers that state the reason upstream-crashed remain sufficient evidence.

--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -48,6 +48,7 @@
 	// returns "" if no sidecar of the service is ready.
 	Designated func(fingerprint uint64) (nodeID string, self bool)
 	// Crashed reports whether the upstream has crashed. It is called when an answer is aborted.
+	// Default: never.
 	Crashed func() bool
 	// TrialWait bounds the wait of a trial for the requests in flight. Default 1 s.
 	TrialWait time.Duration
@@ -100,6 +101,9 @@
 	if cfg.Linger <= 0 {
 		cfg.Linger = DefaultLinger
 	}
+	if cfg.Crashed == nil {
+		cfg.Crashed = func() bool { return false }
+	}
 	return &Guard{
 		cfg: cfg, table: t, peers: b, events: events,
 		running: semaphore.NewWeighted(allRequests), inFlight: map[*call]struct{}{},
