Add failure runs on real processes and the scenario measurements

Cause: the promises must be judged on real processes that are killed, frozen and cut off, and the decisions must be measured against baselines.

--- a/cmd/mtupstream/main.go
+++ b/cmd/mtupstream/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/mulberrytray/mulberrytray/internal/standin/journal"
 	"github.com/mulberrytray/mulberrytray/internal/standin/upstream"
 )
 
@@ -28,6 +29,7 @@
 			&cli.DurationFlag{Name: "service-time", Value: 5 * time.Millisecond, Usage: "mean time per request"},
 			&cli.StringFlag{Name: "node-url", Usage: "caller listener of the node beside the upstream, for X-Call"},
 			&cli.DurationFlag{Name: "cold-start", Usage: "time in which the upstream is warming and slower"},
+			&cli.StringFlag{Name: "journal", Usage: "file that records each execution before it starts"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of random service times and faults"},
 		},
 		Action: run,
@@ -39,11 +41,19 @@
 }
 
 func run(ctx context.Context, c *cli.Command) error {
-	s := upstream.New(upstream.Config{
+	cfg := upstream.Config{
 		Service: c.String("service"), Address: c.String("address"), AnnounceURL: c.String("announce-url"),
 		Slots: c.Int("slots"), ServiceTime: c.Duration("service-time"),
 		NodeURL: c.String("node-url"), ColdStart: c.Duration("cold-start"), Seed: c.Uint64("seed"),
-	})
+	}
+	if path := c.String("journal"); path != "" {
+		w, err := journal.Open(path)
+		if err != nil {
+			return err
+		}
+		cfg.OnExecute = w.Add
+	}
+	s := upstream.New(cfg)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	srv := &http.Server{Addr: c.String("address"), Handler: s, ReadHeaderTimeout: 5 * time.Second}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"path/filepath"
 	"strconv"
 	"syscall"
 	"time"
@@ -61,6 +62,8 @@
 	BinDir string
 	// LogDir takes the output of the processes.
 	LogDir string
+	// JournalDir, if set, takes a journal of executions for each upstream.
+	JournalDir string
 	// NodeArgs and UpstreamArgs are added to the arguments of each process.
 	NodeArgs     []string
 	UpstreamArgs []string
@@ -129,8 +132,11 @@
 func (f *Fleet) StartUpstream(i *Instance) error {
 	args := append([]string{
 		"--service", i.Service, "--address", i.address(portUpstream),
-		"--announce-url", i.url(portLocal) + "/v1/announce", "--slots", strconv.Itoa(f.Deployment.Slots),
+		"--announce-url", i.url(portLocal) + "/v1/announce", "--node-url", i.CallerURL(), "--slots", strconv.Itoa(f.Deployment.Slots),
 	}, f.opts.UpstreamArgs...)
+	if f.opts.JournalDir != "" {
+		args = append(args, "--journal", filepath.Join(f.opts.JournalDir, i.Name+".journal"))
+	}
 	var err error
 	i.Upstream, err = f.launcher.Start(i.Name+"-upstream", "mtupstream", args...)
 	return err
--- /dev/null
+++ b/internal/prove/run.go
@@ -0,0 +1,145 @@
+// Package prove runs a fleet of real processes under injected failures and
+// judges the history with the checkers of package history.
+package prove
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+	"github.com/mulberrytray/mulberrytray/internal/fleet"
+	"github.com/mulberrytray/mulberrytray/internal/history"
+	"github.com/mulberrytray/mulberrytray/internal/standin/journal"
+)
+
+// Config of a run.
+type Config struct {
+	BinDir string
+	// OutDir takes journals and process logs.
+	OutDir string
+	// Deployment and Intent to run.
+	Deployment *fleet.Deployment
+	IntentYAML string
+	Seed       uint64
+	// Duration of the load in each scenario.
+	Duration time.Duration
+	// Callers that send at the same time.
+	Callers int
+}
+
+// Run is one fleet with its history.
+type Run struct {
+	Fleet   *fleet.Fleet
+	History *history.History
+
+	cfg          Config
+	rng          *rand.Rand
+	plainService string
+	tokenService string
+	ranks        []string
+	wg           sync.WaitGroup
+}
+
+// start starts the fleet, puts the intent in effect and waits until all is ready.
+func start(ctx context.Context, cfg Config, scenario string) (*Run, error) {
+	r := &Run{
+		cfg: cfg, History: history.New(), rng: rand.New(rand.NewPCG(cfg.Seed, 0)),
+	}
+	f, err := fleet.Start(cfg.Deployment, fleet.Options{
+		BinDir: cfg.BinDir, LogDir: cfg.OutDir, JournalDir: cfg.OutDir,
+		UpstreamArgs: []string{"--service-time", "5ms"},
+	})
+	r.Fleet = f
+	if err != nil {
+		return r, fmt.Errorf("%s: %w", scenario, err)
+	}
+	if _, err := f.PutIntent(ctx, cfg.IntentYAML, "prove"); err != nil {
+		return r, fmt.Errorf("%s: %w", scenario, err)
+	}
+	if err := f.WaitReady(ctx); err != nil {
+		return r, fmt.Errorf("%s: %w", scenario, err)
+	}
+	return r, nil
+}
+
+// load runs callers until the context ends.
+func (r *Run) load(ctx context.Context) {
+	for n := range r.cfg.Callers {
+		c := &caller{
+			run: r, rng: rand.New(rand.NewPCG(r.cfg.Seed, uint64(n+1))),
+			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		}
+		r.wg.Go(func() { c.loop(ctx) })
+	}
+	r.wg.Go(func() { r.watchVersions(ctx) })
+}
+
+// watchVersions records the version in effect at each node.
+func (r *Run) watchVersions(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, i := range r.Fleet.Instances {
+			callCtx, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+			s, err := i.Operator().NodeStatus(callCtx, connect.NewRequest(&pb.NodeStatusRequest{}))
+			cancel()
+			if err != nil {
+				continue
+			}
+			name := fmt.Sprintf("%s/%d", i.Name, s.Msg.Member.GetIncarnation())
+			r.History.AddInstalled(history.Installed{Node: name, Version: s.Msg.ConfigVersion, At: time.Now()})
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// collect waits for the callers and reads the journals of all upstreams.
+func (r *Run) collect() error {
+	r.wg.Wait()
+	for _, i := range r.Fleet.Instances {
+		entries, err := journal.Read(filepath.Join(r.cfg.OutDir, i.Name+".journal"))
+		if err != nil {
+			return err
+		}
+		for _, e := range entries {
+			r.History.AddExecution(history.Execution{Upstream: i.Name, RequestID: e.RequestID, Operation: e.Operation, Start: e.Start()})
+		}
+	}
+	return nil
+}
+
+// Report is the result of one scenario.
+type Report struct {
+	Scenario   string
+	Sends      int
+	Successful int
+	Executions int
+	Faults     map[string]int
+	Violations []history.Violation
+	// Notes are figures worth printing.
+	Notes []string
+}
+
+// report judges the history with the rules given.
+func (r *Run) report(scenario string, rules ...func() []history.Violation) *Report {
+	rep := &Report{
+		Scenario: scenario, Sends: len(r.History.Sends), Executions: len(r.History.Executions), Faults: r.History.Faults,
+	}
+	for i := range r.History.Sends {
+		if r.History.Sends[i].Success() {
+			rep.Successful++
+		}
+	}
+	for _, rule := range rules {
+		rep.Violations = append(rep.Violations, rule()...)
+	}
+	if rep.Successful == 0 {
+		rep.Violations = append(rep.Violations, history.Violation{Rule: "progress", Detail: errNoProgress.Error()})
+	}
+	return rep
+}
--- /dev/null
+++ b/internal/scenario/scale.go
@@ -0,0 +1,138 @@
+package scenario
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/internal/fleet"
+)
+
+// Scale is what a fleet of one size costs.
+type Scale struct {
+	Nodes, Services int
+	// CPUPercent of a core, RSSBytes and ControlBytesPerSecond are means per node, without load.
+	CPUPercent            float64
+	RSSBytes              int64
+	ControlBytesPerSecond float64
+	// Everywhere is the time from a confirmation until all nodes have it in effect.
+	Everywhere time.Duration
+}
+
+// failureDomains of a generated fleet, as in the two-year target.
+const failureDomains = 9
+
+// scaleDeployment returns a fleet of n nodes in s services.
+func scaleDeployment(n, s int) *fleet.Deployment {
+	d := &fleet.Deployment{Name: "scale", Region: "region-1", AddressPrefix: "127.40.0", Slots: 10}
+	for i := range n {
+		d.Instances = append(d.Instances, fleet.InstanceSpec{
+			Service: fmt.Sprintf("service%d", i%s), FailureDomain: fmt.Sprintf("domain%d", i%failureDomains),
+		})
+	}
+	return d
+}
+
+// scaleIntent returns an intent for s services.
+func scaleIntent(s int, worth int) string {
+	var b strings.Builder
+	b.WriteString("services:\n")
+	for i := range s {
+		fmt.Fprintf(&b, "  - name: service%d\n", i)
+	}
+	fmt.Fprintf(&b, "ranks:\n  - {name: urgent, target_ms: 50, worth: %d, reserve_percent: 40, urgent: true}\n", worth)
+	b.WriteString("  - {name: rest, target_ms: 1000, worth: 1, reserve_percent: 10}\n")
+	b.WriteString("probing: {fleet_probes_per_second: 100, max_nodes: 100}\nnetwork: {caller_one_way_ms: 1, domain_one_way_ms: 0.5}\n")
+	return b.String()
+}
+
+// MeasureScale starts a fleet of n nodes without load and measures what it costs.
+func MeasureScale(ctx context.Context, binDir, logDir string, n, services int, watch time.Duration) (Scale, error) {
+	f, err := fleet.Start(scaleDeployment(n, services), fleet.Options{BinDir: binDir, LogDir: logDir})
+	defer f.Stop()
+	if err != nil {
+		return Scale{}, err
+	}
+	if _, err := f.PutIntent(ctx, scaleIntent(services, 10), "scale"); err != nil {
+		return Scale{}, err
+	}
+	if err := f.WaitReady(ctx); err != nil {
+		return Scale{}, err
+	}
+	// Joining costs more than staying; the slopes are about staying.
+	time.Sleep(watch)
+	s := Scale{Nodes: n, Services: services}
+	if err := s.watch(ctx, f, watch); err != nil {
+		return s, err
+	}
+	confirmed, err := f.PutIntent(ctx, scaleIntent(services, 20), "scale")
+	s.Everywhere = confirmed.Everywhere
+	return s, err
+}
+
+func (s *Scale) watch(ctx context.Context, f *fleet.Fleet, d time.Duration) error {
+	before, err := total(f)
+	if err != nil {
+		return err
+	}
+	bytesBefore, err := controlBytes(ctx, f)
+	if err != nil {
+		return err
+	}
+	time.Sleep(d)
+	bytesAfter, err := controlBytes(ctx, f)
+	if err != nil {
+		return err
+	}
+	after, err := total(f)
+	if err != nil {
+		return err
+	}
+	n := float64(s.Nodes)
+	s.CPUPercent = 100 * (after.CPU - before.CPU).Seconds() / d.Seconds() / n
+	s.RSSBytes = after.RSSBytes / int64(s.Nodes)
+	s.ControlBytesPerSecond = (bytesAfter - bytesBefore) / d.Seconds() / n
+	return nil
+}
+
+// controlBytes sums the control bytes sent and received by all nodes.
+func controlBytes(ctx context.Context, f *fleet.Fleet) (float64, error) {
+	sum := 0.0
+	for _, i := range f.Instances {
+		m, err := metrics(ctx, i)
+		if err != nil {
+			return 0, err
+		}
+		sum += m["mulberrytray_control_bytes_sent"] + m["mulberrytray_control_bytes_received"]
+	}
+	return sum, nil
+}
+
+// metrics reads the plain samples that a node exposes.
+func metrics(ctx context.Context, i *fleet.Instance) (map[string]float64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, i.AdminURL()+"/metrics", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("metrics of %s: %w", i.Name, err)
+	}
+	defer resp.Body.Close()
+	out := map[string]float64{}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, value, ok := strings.Cut(lines.Text(), " ")
+		if !ok || strings.HasPrefix(name, "#") {
+			continue
+		}
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			out[name] = v
+		}
+	}
+	return out, lines.Err()
+}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -61,6 +61,8 @@
 	JournalEntries int
 	// Seed of the random service times and faults.
 	Seed uint64
+	// OnExecute, if set, is called before each execution. An error refuses the request.
+	OnExecute func(*http.Request) error
 	// Crash replaces the end of the process in tests. If it returns, the request is aborted.
 	Crash func()
 }
@@ -134,6 +136,11 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if s.cfg.OnExecute != nil {
+		if err := s.cfg.OnExecute(r); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
 	sum := sha256.Sum256(body)
 	digest := hex.EncodeToString(sum[:])
 	e := s.journal.begin(r, digest, time.Since(s.start))
