Run a pinned crash suspect on the node it is pinned to

Cause: a request with an idempotency token runs on one sidecar only and a suspect on the designated one only; a suspect with a token of another sidecar was refused everywhere until its entry expired after 30 s.

Change: Config.Pinned; a pinned suspect is tried on its own node, alone.

Figures: before, status 503; after, 200 (TestPinnedSuspectRunsHere).

Conclusion: such requests progress.

--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -50,6 +50,10 @@
 	// Crashed reports whether the upstream has crashed. It is called when an answer is aborted.
 	// Default: never.
 	Crashed func() bool
+	// Pinned reports whether a request can run on this node only, such as one with an
+	// idempotency token. A pinned suspect is tried here, since no other node may run it.
+	// Default: never.
+	Pinned func(*http.Request) bool
 	// TrialWait bounds the wait of a trial for the requests in flight. Default 1 s.
 	TrialWait time.Duration
 	// Linger is how long a request of unknown outcome still counts as in flight. Default 100 ms.
@@ -78,6 +82,7 @@
 	fingerprint uint64
 	tracked     bool
 	trial       bool
+	pinned      bool
 	// crash is the crash that the request was in flight with. Guard.mu guards it.
 	crash *crash
 }
@@ -104,6 +109,9 @@
 	if cfg.Crashed == nil {
 		cfg.Crashed = func() bool { return false }
 	}
+	if cfg.Pinned == nil {
+		cfg.Pinned = func(*http.Request) bool { return false }
+	}
 	return &Guard{
 		cfg: cfg, table: t, peers: b, events: events,
 		running: semaphore.NewWeighted(allRequests), inFlight: map[*call]struct{}{},
@@ -122,6 +130,7 @@
 		c, p := newCall(r)
 		isolate := ""
 		if p == nil {
+			c.pinned = g.cfg.Pinned(r)
 			isolate, p = g.admit(r.Context(), c)
 		}
 		if p != nil {
@@ -183,7 +192,7 @@
 		return "", nil
 	}
 	node, self := g.cfg.Designated(c.fingerprint)
-	if self {
+	if self || c.pinned {
 		return "", nil
 	}
 	p = outcome.New(http.StatusServiceUnavailable, outcome.ReasonQuarantined, outcome.NotRun,
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -264,3 +264,27 @@
 		t.Errorf("%d entries, blocked one is %v", table.Len(), table.State(1000))
 	}
 }
+
+// Guards against a suspect that no node may run: one that is pinned to this node
+// while another one is designated.
+func TestPinnedSuspectRunsHere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			desc   string
+			pinned bool
+			want   int
+		}{{"pinned", true, http.StatusOK}, {"not pinned", false, http.StatusServiceUnavailable}} {
+			g, table := newGuard(&reports{}, false)
+			g.cfg.Designated = func(uint64) (string, bool) { return "n1", false }
+			g.cfg.Pinned = func(*http.Request) bool { return c.pinned }
+			suspect(table, 0xa)
+			h := g.Wrap(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(outcome.HeaderOutcome, string(outcome.Run))
+			}))
+			if got := serve(t.Context(), h, "a"); got != c.want {
+				t.Errorf("%s: status %d, want %d", c.desc, got, c.want)
+			}
+			g.Wait()
+		}
+	})
+}
