Add the admission controller in front of an upstream's slots

Cause: a full sidecar could only refuse; nothing divided slots among ranks.

Change: bounded queue with reserves, worth, caller turns, early refusal, eviction, warm-up and typed refusals. Requests of unknown ranks are served last, since another node may have a newer intent.

--- /dev/null
+++ b/pkg/admission/controller_test.go
@@ -0,0 +1,225 @@
+package admission_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/admission"
+	"github.com/mulberrytray/mulberrytray/pkg/intent"
+	"github.com/mulberrytray/mulberrytray/pkg/outcome"
+)
+
+// harness records the order in which requests get a slot.
+type harness struct {
+	*admission.Controller
+	mu      sync.Mutex
+	order   []string
+	refused map[string]outcome.Reason
+	wg      sync.WaitGroup
+}
+
+func newHarness(slots int) *harness {
+	h := &harness{Controller: admission.New(ranks), refused: map[string]outcome.Reason{}}
+	h.SetSlots(slots, false)
+	return h
+}
+
+// submit queues a request that holds its slot for the service time.
+func (h *harness) submit(ctx context.Context, name string, r admission.Request) {
+	h.wg.Go(func() {
+		release, err := h.Acquire(ctx, r)
+		h.mu.Lock()
+		var refusal *admission.Refusal
+		if errors.As(err, &refusal) {
+			h.refused[name] = refusal.Reason
+		} else {
+			h.order = append(h.order, name)
+		}
+		h.mu.Unlock()
+		if err == nil {
+			time.Sleep(serviceTime)
+			release()
+			release()
+		}
+	})
+	synctest.Wait()
+}
+
+func after(d time.Duration) time.Time { return time.Now().Add(d) }
+
+// Guards against a caller that fills its rank and against a deadline order
+// across callers.
+func TestCallersTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(1)
+		ctx := context.Background()
+		h.submit(ctx, "running", admission.Request{Rank: "urgent"})
+		for i, d := range []time.Duration{3, 1, 2} {
+			h.submit(ctx, fmt.Sprint("a", i), admission.Request{Rank: "urgent", Caller: "a", Deadline: after(d * time.Second)})
+		}
+		h.submit(ctx, "b0", admission.Request{Rank: "urgent", Caller: "b", Deadline: after(9 * time.Second)})
+		h.wg.Wait()
+		if got, want := fmt.Sprint(h.order), "[running a1 b0 a2 a0]"; got != want {
+			t.Errorf("order %v, want %v", got, want)
+		}
+	})
+}
+
+// Guards against a slot that is lost, or given twice, when waiting requests end
+// by cancellation, deadline, busy refusal or drain.
+func TestWaitingRequestsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(1)
+		ctx, cancel := context.WithCancel(context.Background())
+		held, err := h.Acquire(ctx, admission.Request{Rank: "urgent"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.submit(ctx, "no-wait", admission.Request{Rank: "urgent", NoWait: true})
+		h.submit(ctx, "cancelled", admission.Request{Rank: "urgent"})
+		h.submit(context.Background(), "expired", admission.Request{Rank: "batch", Deadline: after(time.Second)})
+		cancel()
+		time.Sleep(2 * time.Second)
+		h.submit(context.Background(), "drained", admission.Request{Rank: "normal"})
+		h.SetDrain(true)
+		h.submit(context.Background(), "late", admission.Request{Rank: "normal"})
+		h.wg.Wait()
+		want := "map[cancelled:cancelled drained:draining expired:deadline late:draining no-wait:busy]"
+		if got := fmt.Sprint(h.refused); got != want {
+			t.Errorf("refused %v, want %v", got, want)
+		}
+		held()
+		if s := h.Stats(); s.InFlight != 0 || s.Queued != 0 {
+			t.Errorf("%d in flight and %d queued are left", s.InFlight, s.Queued)
+		}
+	})
+}
+
+// Guards against a queue without bounds, one caller or one rank that fills it,
+// and work of more worth that is kept out.
+func TestQueueBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(1)
+		release, err := h.Acquire(context.Background(), admission.Request{Rank: "normal"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		for caller := range 3 {
+			for i := range 40 {
+				h.submit(ctx, fmt.Sprint(caller, "/", i), admission.Request{Rank: "batch", Caller: fmt.Sprint(caller)})
+			}
+			if got, want := h.Stats().Queued, min(12*(caller+1), 24); got != want {
+				t.Errorf("%d queued after caller %d, want %d", got, caller, want)
+			}
+		}
+		for i := range 40 {
+			h.submit(ctx, fmt.Sprint("urgent", i), admission.Request{Rank: "urgent", Caller: fmt.Sprint(i)})
+		}
+		if got := h.Stats().Queued; got != 32 {
+			t.Errorf("%d queued, want 32", got)
+		}
+		if h.refused["urgent0"] != "" || h.refused["urgent19"] != "" {
+			t.Error("work of more worth was kept out by a full queue")
+		}
+		cancel()
+		h.wg.Wait()
+		release()
+	})
+}
+
+// Guards against waiting requests that are lost when the ranks or the slots change.
+func TestChangesKeepWaitingRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(1)
+		ctx := context.Background()
+		h.submit(ctx, "running", admission.Request{Rank: "urgent"})
+		h.submit(ctx, "gone", admission.Request{Rank: "urgent"})
+		h.submit(ctx, "unknown", admission.Request{Rank: "no such rank"})
+		h.submit(ctx, "kept", admission.Request{Rank: "batch"})
+		h.SetRanks([]intent.Rank{{Name: "batch", Worth: 1}})
+		h.wg.Wait()
+		if got, want := fmt.Sprint(h.order), "[running kept unknown gone]"; got != want && got != "[running kept gone unknown]" {
+			t.Errorf("order %v, want %v", got, want)
+		}
+	})
+}
+
+// Guards against a cold upstream that gets its full load at once.
+func TestWarmUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := admission.New(ranks)
+		for _, want := range []int{1, 3, 5, 8, 10} {
+			c.SetSlots(testSlots, true)
+			if got := c.Stats().Slots; got != want {
+				t.Errorf("%d slots, want %d", got, want)
+			}
+			time.Sleep(2500 * time.Millisecond)
+		}
+		c.SetSlots(4, false)
+		if got := c.Stats().Slots; got != 4 {
+			t.Errorf("%d slots when ready, want 4", got)
+		}
+	})
+}
+
+// Guards against requests that wait although they cannot be answered in time.
+func TestRefusedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(1)
+		h.submit(context.Background(), "measured", admission.Request{Rank: "urgent"})
+		h.wg.Wait()
+		for i := range 6 {
+			h.submit(context.Background(), fmt.Sprint(i), admission.Request{Rank: "urgent"})
+		}
+		start := time.Now()
+		_, err := h.Acquire(context.Background(), admission.Request{Rank: "urgent", Deadline: after(4 * serviceTime)})
+		var refusal *admission.Refusal
+		if !errors.As(err, &refusal) || refusal.Reason != outcome.ReasonOverload || refusal.RetryAfter <= 0 {
+			t.Errorf("got %v, want an overload refusal with a retry delay", err)
+		}
+		if time.Since(start) > 0 {
+			t.Errorf("refused after %v", time.Since(start))
+		}
+		h.wg.Wait()
+	})
+}
+
+// Measures a grant without waiting.
+func BenchmarkAcquireRelease(b *testing.B) {
+	c := admission.New(ranks)
+	c.SetSlots(1000, false)
+	ctx := context.Background()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			release, err := c.Acquire(ctx, admission.Request{Rank: "urgent", Caller: "a"})
+			if err != nil {
+				b.Fatal(err)
+			}
+			release()
+		}
+	})
+}
+
+// Measures a grant from the queue.
+func BenchmarkAcquireQueued(b *testing.B) {
+	c := admission.New(ranks)
+	c.SetSlots(2, false)
+	ctx := context.Background()
+	b.ReportAllocs()
+	b.SetParallelism(2)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			release, err := c.Acquire(ctx, admission.Request{Rank: "urgent", Caller: "a"})
+			if err == nil {
+				release()
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/admission/refusal.go
@@ -0,0 +1,29 @@
+package admission
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/outcome"
+)
+
+// Refusal is the error of a request that did not get a slot. The request was
+// not run.
+type Refusal struct {
+	// Reason is one of outcome.ReasonBusy, ReasonOverload, ReasonDeadline,
+	// ReasonDraining and ReasonCancelled.
+	Reason outcome.Reason
+	// RetryAfter is the suggested delay before the next attempt; zero means none.
+	RetryAfter time.Duration
+	// Detail says which limit was reached.
+	Detail string
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("admission: %s: %s", r.Reason, r.Detail)
+}
+
+func refuse(reason outcome.Reason, retry time.Duration, detail string) *Refusal {
+	return &Refusal{Reason: reason, RetryAfter: retry, Detail: detail}
+}
