Complete the sidecar: fencing, lease, dispatch checks and outcomes

Cause: the sidecar refused without a queue, checked the lease only on arrival, let http.Transport resend requests, accepted any announcement and reported every failure as unknown.

Change: header checks, admission, a check inside the first write of each request (lease, drain, deadline, cancellation), one send per attempt, crash detection, Config.Execute, load on each answer, trailers, strict announcements, lease handover between incarnations, metrics, WaitIdle. Idle upstream connections are kept 4 s, below the 5 s of common servers. A refused or missing answer before the first write is not-run.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -88,7 +88,7 @@
 		{Name: eventStop, Src: []string{stateDraining}, Dst: stateStopped},
 	}, fsm.Callbacks{})
 	n.keeper = configlog.NewKeeper(n.log, n.events)
-	n.sidecar = sidecar.New(sidecar.Config{Incarnation: n.incarnation, LeaseTTL: leaseTTL}, n.events)
+	n.sidecar = n.newSidecar()
 	n.agent = membership.NewAgent(membership.Config{
 		Period: s.ProbePeriod, ProbeTimeout: 300 * time.Millisecond, SuspicionTimeout: 4 * time.Second,
 	}, &pb.Member{
@@ -119,7 +119,7 @@
 	}).Mount(peerMux)
 	peerMux.Handle("/", n.sidecar)
 	localMux := http.NewServeMux()
-	localMux.HandleFunc("POST /v1/announce", n.sidecar.ServeAnnounce)
+	localMux.HandleFunc("/v1/announce", n.sidecar.ServeAnnounce)
 	adminMux := http.NewServeMux()
 	operator.New(n.keeper, n).Mount(adminMux)
 	adminMux.Handle("GET /metrics", telemetry.Handler(n.registry))
--- /dev/null
+++ b/pkg/sidecar/dispatch.go
@@ -0,0 +1,172 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/outcome"
+	"github.com/mulberrytray/mulberrytray/pkg/stream"
+)
+
+// Limits of upstream connections.
+const (
+	maxConnections   = 200
+	dialTimeout      = time.Second
+	maxAnswerHeader  = 64 << 10
+	continueTimeout  = time.Second
+	idleConnLifetime = 4 * time.Second // below the 5 s after which common servers close idle connections
+)
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext: dialGated, MaxIdleConnsPerHost: maxConnections, MaxConnsPerHost: maxConnections,
+		IdleConnTimeout: idleConnLifetime, ExpectContinueTimeout: continueTimeout,
+		MaxResponseHeaderBytes: maxAnswerHeader, DisableCompression: true,
+	}
+}
+
+// dispatch runs a request that holds a slot. Failures before the answer is
+// started are left in the call, so that Config.Execute can act on them first.
+func (s *Sidecar) dispatch(w http.ResponseWriter, r *http.Request) {
+	c := r.Context().Value(callKey{}).(*call)
+	a, _ := s.lease.get(time.Now())
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	c.attempt = &attempt{cancel: cancel, check: func() *outcome.Problem { return s.blocked(r.Context(), a.Incarnation) }}
+	if c.problem = c.attempt.check(); c.problem != nil {
+		return
+	}
+	// Without full duplex the server would read the whole request body before
+	// it sends the first byte of the answer.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	resp, err := s.transport.RoundTrip(upstreamRequest(c.attempt.trace(ctx), r, a.Address, c.forwarded))
+	if err != nil {
+		c.problem = s.failure(r.Context(), c, a, err)
+		return
+	}
+	defer resp.Body.Close()
+	if c.problem = invalidAnswer(r.Method, resp); c.problem != nil {
+		return
+	}
+	if err := copyAnswer(w, r, resp); err != nil {
+		c.crashed = r.Context().Err() == nil && s.refusesDial(a)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// blocked returns why the request may not be sent now, or nil.
+func (s *Sidecar) blocked(ctx context.Context, incarnation string) *outcome.Problem {
+	if p := s.unavailable(); p != nil {
+		return p
+	}
+	if a, _ := s.lease.get(time.Now()); a.Incarnation != incarnation {
+		return outcome.New(http.StatusServiceUnavailable, outcome.ReasonLeaseLapsed, outcome.NotRun, "the upstream was replaced")
+	}
+	deadline, _ := ctx.Deadline()
+	if !time.Now().Before(deadline) {
+		return endProblem(context.DeadlineExceeded, outcome.NotRun)
+	}
+	if err := ctx.Err(); err != nil {
+		return endProblem(err, outcome.NotRun)
+	}
+	return nil
+}
+
+// endProblem describes a request whose context ended.
+func endProblem(err error, o outcome.Outcome) *outcome.Problem {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return outcome.New(http.StatusGatewayTimeout, outcome.ReasonDeadline, o, "the deadline passed")
+	}
+	return outcome.New(statusClientClosed, outcome.ReasonCancelled, o, "the caller left")
+}
+
+// upstreamRequest builds the request that the upstream sees.
+func upstreamRequest(ctx context.Context, r *http.Request, address string, f forwarded) *http.Request {
+	out := r.Clone(ctx)
+	out.RequestURI = ""
+	out.URL.Scheme, out.URL.Host = "http", address
+	out.Header = http.Header{}
+	stream.CopyHeader(out.Header, r.Header)
+	stream.StripInternal(out.Header)
+	out.Trailer = r.Trailer // filled while the body is read, so it must be the same map
+	out.GetBody, out.Close = nil, false
+	if r.ContentLength == 0 {
+		out.Body = nil
+	}
+	if out.Header.Get("User-Agent") == "" {
+		out.Header.Set("User-Agent", "") // prevents the transport's own value
+	}
+	deadline, _ := ctx.Deadline()
+	out.Header.Set(outcome.HeaderTimeout, strconv.FormatInt(remainingMs(deadline), 10))
+	out.Header.Set(outcome.HeaderRank, f.rank)
+	out.Header.Set(outcome.HeaderDepth, strconv.Itoa(f.depth))
+	out.Header.Set(outcome.HeaderRequestID, f.requestID)
+	out.Header.Set(outcome.HeaderCaller, f.caller)
+	return out
+}
+
+// failure describes a round trip without an answer.
+func (s *Sidecar) failure(ctx context.Context, c *call, a Announcement, err error) *outcome.Problem {
+	result := outcome.NotRun
+	if c.attempt.seal() {
+		result = outcome.Unknown
+	}
+	switch {
+	case c.attempt.refusal != nil:
+		return c.attempt.refusal
+	case ctx.Err() != nil:
+		return endProblem(ctx.Err(), result)
+	case result == outcome.Unknown && s.hasCrashed(ctx, a):
+		c.crashed = true
+		return outcome.New(http.StatusBadGateway, outcome.ReasonUpstreamCrashed, outcome.Unknown, "the upstream crashed while it ran the request")
+	}
+	return outcome.New(http.StatusBadGateway, outcome.ReasonUpstreamFailed, result, err.Error())
+}
+
+// invalidAnswer refuses answers whose end cannot be told from a cut, and upgrades.
+func invalidAnswer(method string, resp *http.Response) *outcome.Problem {
+	detail := ""
+	switch {
+	case resp.StatusCode < http.StatusOK:
+		detail = "the upstream switched protocols"
+	case method == http.MethodHead, resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified:
+	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+		detail = "the upstream's answer has neither a length nor chunks"
+	}
+	if detail == "" {
+		return nil
+	}
+	return outcome.New(http.StatusBadGateway, outcome.ReasonInvalidAnswer, outcome.Run, detail)
+}
+
+// copyAnswer passes the upstream's answer on. An error means that it is not whole.
+func copyAnswer(w http.ResponseWriter, r *http.Request, resp *http.Response) error {
+	h := w.Header()
+	shed := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(outcome.HeaderOutcome) == string(outcome.NotRun)
+	stream.CopyHeader(h, resp.Header)
+	stream.StripInternal(h)
+	h.Del(outcome.HeaderServedBy)
+	h.Set(outcome.HeaderOutcome, string(outcome.Run))
+	if shed {
+		h.Set(outcome.HeaderOutcome, string(outcome.NotRun))
+		h.Set(outcome.HeaderReason, string(outcome.ReasonOverload))
+	}
+	stream.AnnounceTrailer(h, resp.Trailer)
+	w.WriteHeader(resp.StatusCode)
+	control := http.NewResponseController(w)
+	// A caller that does not read would otherwise hold the slot past the deadline.
+	deadline, _ := r.Context().Deadline()
+	_ = control.SetWriteDeadline(deadline)
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	if resp.ContentLength < 0 {
+		_ = control.Flush()
+	}
+	if err := stream.CopyBody(w, resp.Body); err != nil {
+		return err
+	}
+	stream.CopyTrailer(h, resp.Trailer)
+	return nil
+}
--- /dev/null
+++ b/pkg/sidecar/dispatch_test.go
@@ -0,0 +1,214 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/load"
+	"github.com/mulberrytray/mulberrytray/pkg/outcome"
+)
+
+// Guards against a wrong statement about execution, and against a reason that
+// hides a crash.
+func TestOutcomes(t *testing.T) {
+	closeAll := func(u *rawUpstream, _ net.Conn, _ *http.Request) bool {
+		_ = u.listener.Close()
+		return false
+	}
+	drop := func(*rawUpstream, net.Conn, *http.Request) bool { return false }
+	tests := []struct {
+		desc    string
+		serve   func(*rawUpstream, net.Conn, *http.Request) bool
+		status  int
+		outcome outcome.Outcome
+		reason  outcome.Reason
+	}{
+		{"answer", respond(okAnswer, true), 200, outcome.Run, ""},
+		{"error of the upstream", respond("HTTP/1.1 503 X\nContent-Length: 0\n\n", true), 503, outcome.Run, ""},
+		{"load shedding", respond("HTTP/1.1 503 X\nContent-Length: 0\nMulberrytray-Outcome: not-run\n\n", true), 503, outcome.NotRun, outcome.ReasonOverload},
+		{"not-run without 503", respond("HTTP/1.1 200 X\nContent-Length: 0\nMulberrytray-Outcome: not-run\n\n", true), 200, outcome.Run, ""},
+		{"connection closed", drop, 502, outcome.Unknown, outcome.ReasonUpstreamFailed},
+		{"crash", closeAll, 502, outcome.Unknown, outcome.ReasonUpstreamCrashed},
+		{"no length", respond("HTTP/1.1 200 OK\n\nbody", false), 502, outcome.Run, outcome.ReasonInvalidAnswer},
+		{"protocol switch", respond("HTTP/1.1 101 X\nUpgrade: x\nConnection: upgrade\n\n", true), 502, outcome.Run, outcome.ReasonInvalidAnswer},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			u := newRawUpstream(t, tt.serve)
+			s := newSidecar(u.listener.Addr().String(), Config{})
+			resp := do(s, newRequest("POST", "http://x/", strings.NewReader("body")))
+			if resp.StatusCode != tt.status || resp.Header.Get(outcome.HeaderOutcome) != string(tt.outcome) ||
+				resp.Header.Get(outcome.HeaderReason) != string(tt.reason) {
+				t.Errorf("status %d, header %v", resp.StatusCode, resp.Header)
+			}
+			if l, err := load.Decode(resp.Header.Get(outcome.HeaderLoad)); err != nil || l.Slots != 2 {
+				t.Errorf("load %v, %v", l, err)
+			}
+			if tt.reason == outcome.ReasonUpstreamCrashed && reasonOf(s) != outcome.ReasonLeaseLapsed {
+				t.Error("the lease of the crashed upstream is still valid")
+			}
+			if got := s.Load().InFlight; got != 0 {
+				t.Errorf("%d slots are still taken", got)
+			}
+		})
+	}
+}
+
+// Guards against a refused connection that is reported as possibly run.
+func TestRefusedDialIsNotRun(t *testing.T) {
+	resp := do(newSidecar(nowhere, Config{}), newRequest("POST", "http://x/", strings.NewReader("body")))
+	if got := resp.Header.Get(outcome.HeaderOutcome); resp.StatusCode != 502 || got != string(outcome.NotRun) {
+		t.Errorf("status %d, outcome %q", resp.StatusCode, got)
+	}
+}
+
+// Guards against http.Transport sending a request again after the connection
+// it reused failed.
+func TestNeverResent(t *testing.T) {
+	tests := []struct{ desc, method, key, body string }{
+		{"GET", "GET", "", ""},
+		{"HEAD", "HEAD", "", ""},
+		{"POST with key and no body", "POST", "k", ""},
+		{"POST with key and body", "POST", "k", "body"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			u := newRawUpstream(t, func(u *rawUpstream, c net.Conn, r *http.Request) bool {
+				return u.requests.Load() == 1 && respond(okAnswer, true)(u, c, r)
+			})
+			s := newSidecar(u.listener.Addr().String(), Config{})
+			first := do(s, newRequest("GET", "http://x/", nil))
+			r := newRequest(tt.method, "http://x/", strings.NewReader(tt.body))
+			if tt.key != "" {
+				r.Header.Set(outcome.HeaderIdempotencyKey, tt.key)
+			}
+			second := do(s, r)
+			if first.StatusCode != 200 || second.Header.Get(outcome.HeaderOutcome) != string(outcome.Unknown) {
+				t.Errorf("status %d, then %d %v", first.StatusCode, second.StatusCode, second.Header)
+			}
+			if got := u.requests.Load(); got != 2 {
+				t.Errorf("the upstream got %d requests, want 2", got)
+			}
+		})
+	}
+}
+
+// Guards against a cut answer that looks whole to the caller.
+func TestCutAnswerAborts(t *testing.T) {
+	answers := map[string]string{
+		"length":  "HTTP/1.1 200 OK\nContent-Length: 100\n\nshort",
+		"chunked": "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n5\nshort\n",
+	}
+	for desc, answer := range answers {
+		for _, h2 := range []bool{false, true} {
+			u := newRawUpstream(t, respond(answer, false))
+			server := serveSidecar(t, newSidecar(u.listener.Addr().String(), Config{}))
+			transport := &http.Transport{Protocols: new(http.Protocols)}
+			transport.Protocols.SetHTTP1(!h2)
+			transport.Protocols.SetUnencryptedHTTP2(h2)
+			resp, err := transport.RoundTrip(newRequest("GET", server.URL, nil))
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+			}
+			if err == nil {
+				t.Errorf("%s, HTTP/2 %v: the answer looks whole", desc, h2)
+			}
+			transport.CloseIdleConnections()
+		}
+	}
+}
+
+// Guards against internal headers that reach the upstream or can be forged by
+// it, lost trailers, and a deadline that is not passed on.
+func TestHeadersAndTrailers(t *testing.T) {
+	var seen http.Header
+	u := newRawUpstream(t, func(u *rawUpstream, c net.Conn, r *http.Request) bool {
+		seen = r.Header
+		return respond("HTTP/1.1 200 OK\nTransfer-Encoding: chunked\nTrailer: X-Sum\nMulberrytray-Load: forged\nMulberrytray-Reason: busy\n\n2\nok\n0\nX-Sum: 9\n\n", true)(u, c, r)
+	})
+	server := serveSidecar(t, newSidecar(u.listener.Addr().String(), Config{}))
+	r := newRequest("GET", server.URL, nil)
+	r.Header.Set(outcome.HeaderTimeout, "5000")
+	r.Header.Set(outcome.HeaderQueue, outcome.QueueWait)
+	r.Header.Set(outcome.HeaderDepth, "3")
+	resp, err := server.Client().Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "ok" || resp.Trailer.Get("X-Sum") != "9" {
+		t.Errorf("body %q, %v, trailer %v", body, err, resp.Trailer)
+	}
+	if _, err := load.Decode(resp.Header.Get(outcome.HeaderLoad)); err != nil || resp.Header.Get(outcome.HeaderReason) != "" {
+		t.Errorf("forged headers: %v", resp.Header)
+	}
+	if seen.Get(outcome.HeaderTargetIncarnation) != "" || seen.Get(outcome.HeaderQueue) != "" {
+		t.Errorf("internal headers reach the upstream: %v", seen)
+	}
+	if ms := seen.Get(outcome.HeaderTimeout); len(ms) != 4 || ms > "5000" || seen.Get(outcome.HeaderDepth) != "3" ||
+		seen.Get(outcome.HeaderCaller) == "" || seen.Get(outcome.HeaderRequestID) == "" {
+		t.Errorf("header %v", seen)
+	}
+}
+
+// Guards against upstream work that goes on after its caller left.
+func TestCancellationReachesUpstream(t *testing.T) {
+	started, ended := make(chan struct{}), make(chan struct{})
+	u := newRawUpstream(t, func(_ *rawUpstream, c net.Conn, _ *http.Request) bool {
+		close(started)
+		_, _ = c.Read(make([]byte, 1))
+		close(ended)
+		return false
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-started; cancel() }()
+	resp := do(newSidecar(u.listener.Addr().String(), Config{}), newRequest("GET", "http://x/", nil).WithContext(ctx))
+	if got := resp.Header.Get(outcome.HeaderOutcome); got != string(outcome.Unknown) || resp.StatusCode != statusClientClosed {
+		t.Errorf("status %d, outcome %q", resp.StatusCode, got)
+	}
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Error("the upstream's connection is still open")
+	}
+}
+
+// Guards against a large body that is sent before the refusal.
+func TestExpectContinueIsRefusedBeforeBody(t *testing.T) {
+	s := newSidecar(nowhere, Config{})
+	s.SetDrain(true)
+	server := serveSidecar(t, s)
+	body := &readCounter{}
+	r := newRequest("POST", server.URL, body)
+	r.ContentLength = 1 << 20
+	r.Header.Set("Expect", "100-continue")
+	resp, err := (&http.Transport{ExpectContinueTimeout: time.Minute}).RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != 503 || body.reads != 0 {
+		t.Errorf("status %d after %d reads of the body", resp.StatusCode, body.reads)
+	}
+}
+
+type readCounter struct{ reads int }
+
+func (b *readCounter) Read(p []byte) (int, error) { b.reads++; return len(p), nil }
+
+// Guards against a panic that ends the process or keeps the slot.
+func TestPanicReleasesSlot(t *testing.T) {
+	s := newSidecar(nowhere, Config{Execute: func(http.Handler) http.Handler {
+		return http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("planted") })
+	}})
+	resp := do(s, newRequest("GET", "http://x/", nil))
+	if resp.StatusCode != 500 || resp.Header.Get(outcome.HeaderOutcome) != string(outcome.NotRun) || s.Load().InFlight != 0 {
+		t.Errorf("status %d, header %v, %d in flight", resp.StatusCode, resp.Header, s.Load().InFlight)
+	}
+}
--- a/pkg/sidecar/lease.go
+++ b/pkg/sidecar/lease.go
@@ -7,67 +7,128 @@
 	"github.com/google/uuid"
 )
 
-// State is the state that an upstream announces for itself.
-type State string
+// maxNonces bounds the nonces that are remembered of one incarnation. An
+// upstream that repeats an announcement echoes one of the last few.
+const maxNonces = 4
 
-// States of an upstream.
-const (
-	StateWarming  State = "warming"
-	StateReady    State = "ready"
-	StateDraining State = "draining"
-)
+// nonce is a value that an upstream echoes in its next announcement.
+type nonce struct {
+	value  string
+	issued time.Time
+}
 
-// Announcement is what an upstream posts to the node beside it.
-type Announcement struct {
-	Service string `json:"service"`
-	// Address is the IP:port where the upstream takes requests.
-	Address string `json:"address"`
-	Slots   int    `json:"slots"`
-	// Incarnation identifies this start of the upstream.
-	Incarnation string `json:"incarnation"`
-	State       State  `json:"state"`
-	// Nonce of the last answer; empty on the first announcement.
-	Nonce string `json:"nonce"`
+// holder is an incarnation of the upstream that announced itself.
+type holder struct {
+	last   Announcement
+	nonces []nonce
+	// echoed is when the newest echoed nonce was issued.
+	echoed time.Time
 }
 
-// AnnounceResponse answers an announcement.
-type AnnounceResponse struct {
-	// Nonce to be echoed in the next announcement.
-	Nonce string `json:"nonce"`
-	// LeaseMs is how long the lease lasts from when the nonce was issued.
-	LeaseMs int64 `json:"lease_ms"`
+func (h *holder) issue(now time.Time) string {
+	n := nonce{value: uuid.NewString(), issued: now}
+	h.nonces = append(h.nonces, n)
+	if len(h.nonces) > maxNonces {
+		h.nonces = h.nonces[1:]
+	}
+	return n.value
+}
+
+func (h *holder) issuedAt(value string) (time.Time, bool) {
+	for _, n := range h.nonces {
+		if n.value == value {
+			return n.issued, true
+		}
+	}
+	return time.Time{}, false
 }
 
 // lease tracks an upstream's announcements. It runs from when the echoed nonce
 // was issued, so an announcement that was delayed in a socket does not renew it.
+// A new incarnation takes over once it has echoed a nonce. Safe for concurrent use.
 type lease struct {
 	ttl time.Duration
 
-	mu      sync.Mutex
-	current Announcement
-	nonce   string
-	issued  time.Time
-	expires time.Time
+	mu        sync.Mutex
+	current   holder
+	candidate holder
+	expires   time.Time
+	// replaced is closed when another incarnation announces itself.
+	replaced chan struct{}
+}
+
+// renew takes an announcement and returns the next nonce. It reports whether
+// the announcement is now the current one.
+func (l *lease) renew(a Announcement, now time.Time) (next string, applied bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a.Incarnation == l.current.last.Incarnation {
+		applied = l.update(a)
+		return l.current.issue(now), applied
+	}
+	if a.Incarnation != l.candidate.last.Incarnation {
+		l.candidate = holder{last: a}
+		l.announceReplacement()
+	}
+	issued, ok := l.candidate.issuedAt(a.Nonce)
+	if !ok || !now.Before(issued.Add(l.ttl)) {
+		return l.candidate.issue(now), false
+	}
+	l.current, l.candidate = l.candidate, holder{}
+	l.current.last, l.current.echoed = a, issued
+	l.expires = issued.Add(l.ttl)
+	return l.current.issue(now), true
+}
+
+// update takes an announcement of the current incarnation. One that echoes an
+// old nonce may only start a drain, since its other fields may be out of date.
+func (l *lease) update(a Announcement) bool {
+	issued, ok := l.current.issuedAt(a.Nonce)
+	if ok && issued.After(l.current.echoed) {
+		l.current.last, l.current.echoed = a, issued
+		l.expires = issued.Add(l.ttl)
+		return true
+	}
+	if a.State == StateDraining && l.current.last.State != StateDraining {
+		l.current.last.State = StateDraining
+		return true
+	}
+	return false
+}
+
+func (l *lease) announceReplacement() {
+	if l.replaced != nil {
+		close(l.replaced)
+	}
+	l.replaced = make(chan struct{})
+}
+
+// replacement returns a channel that is closed when another incarnation announces itself.
+func (l *lease) replacement() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.replaced == nil {
+		l.replaced = make(chan struct{})
+	}
+	return l.replaced
 }
 
-// renew takes an announcement and returns the next nonce.
-func (l *lease) renew(a Announcement, now time.Time) string {
+// end ends the lease of an incarnation and forgets its nonces: announcements on
+// their way do not renew it. It reports whether a lease ended.
+func (l *lease) end(incarnation string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if a.Nonce != "" && a.Nonce == l.nonce && a.Incarnation == l.current.Incarnation {
-		l.expires = l.issued.Add(l.ttl)
-	} else if a.Incarnation != l.current.Incarnation {
-		l.expires = time.Time{}
+	if l.current.last.Incarnation != incarnation || l.expires.IsZero() {
+		return false
 	}
-	l.current = a
-	l.nonce = uuid.NewString()
-	l.issued = now
-	return l.nonce
+	l.expires = time.Time{}
+	l.current.nonces = nil
+	return true
 }
 
 // get returns the last announcement and whether the lease is valid.
 func (l *lease) get(now time.Time) (Announcement, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.current, now.Before(l.expires)
+	return l.current.last, now.Before(l.expires)
 }
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -5,74 +5,103 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+	"github.com/mulberrytray/mulberrytray/pkg/admission"
 	"github.com/mulberrytray/mulberrytray/pkg/event"
+	"github.com/mulberrytray/mulberrytray/pkg/intent"
 	"github.com/mulberrytray/mulberrytray/pkg/outcome"
-	"github.com/mulberrytray/mulberrytray/pkg/stream"
 )
 
-// Config holds the settings of a Sidecar.
+// defaultLeaseTTL applies when Config.LeaseTTL is zero.
+const defaultLeaseTTL = 2500 * time.Millisecond
+
+// Config holds the settings of a Sidecar. Nil functions take their default.
 type Config struct {
 	// Incarnation of this node.
 	Incarnation uint64
 	// LeaseTTL is how long an announcement is valid. Default 2.5 s.
 	LeaseTTL time.Duration
+	// Intent returns the intent in effect, or nil. It is called for each request
+	// and must be fast. Default: none; all ranks are then equal.
+	Intent func() *intent.Intent
+	// ConfigVersion is reported in the load. Default 0.
+	ConfigVersion func() uint64
+	// Execute wraps the handler that runs a request after it got a slot. The
+	// wrapped handler writes no failure itself: a failure is written after the
+	// outer handler has returned without an answer. Default: identity.
+	Execute func(next http.Handler) http.Handler
+	// Registry takes the metrics. Default: a registry of its own.
+	Registry metrics.Registry
 }
 
 // Sidecar is an http.Handler for forwarded requests. It is safe for concurrent use.
 type Sidecar struct {
-	cfg      Config
-	events   *event.Logger
-	client   *http.Transport
-	lease    lease
-	inFlight atomic.Int32
-	draining atomic.Bool
+	cfg       Config
+	events    *event.Logger
+	transport *http.Transport
+	lease     lease
+	admission *admission.Controller
+	execute   http.Handler
+	metrics   sidecarMetrics
+	intent    atomic.Pointer[intent.Intent]
+	draining  atomic.Bool
+	active    activity
+	// announcing serialises announcements and what they change.
+	announcing sync.Mutex
 }
 
 // New returns a sidecar without an upstream.
 func New(cfg Config, events *event.Logger) *Sidecar {
-	return &Sidecar{
+	if cfg.LeaseTTL == 0 {
+		cfg.LeaseTTL = defaultLeaseTTL
+	}
+	if cfg.Intent == nil {
+		cfg.Intent = func() *intent.Intent { return nil }
+	}
+	if cfg.ConfigVersion == nil {
+		cfg.ConfigVersion = func() uint64 { return 0 }
+	}
+	if cfg.Registry == nil {
+		cfg.Registry = metrics.NewRegistry()
+	}
+	s := &Sidecar{
 		cfg: cfg, events: events, lease: lease{ttl: cfg.LeaseTTL},
-		client: &http.Transport{MaxIdleConnsPerHost: 200, MaxConnsPerHost: 200, DisableCompression: true},
+		admission: admission.New(nil), transport: newTransport(),
 	}
+	s.execute = http.HandlerFunc(s.dispatch)
+	if cfg.Execute != nil {
+		s.execute = cfg.Execute(s.execute)
+	}
+	s.metrics = newMetrics(cfg.Registry, s.admission)
+	return s
 }
 
-// Announce takes an upstream's announcement.
-func (s *Sidecar) Announce(a Announcement) AnnounceResponse {
-	nonce := s.lease.renew(a, time.Now())
-	return AnnounceResponse{Nonce: nonce, LeaseMs: s.cfg.LeaseTTL.Milliseconds()}
-}
-
-// maxAnnouncementBytes bounds the body of an announcement.
-const maxAnnouncementBytes = 4 << 10
-
-// ServeAnnounce handles POST /v1/announce.
-func (s *Sidecar) ServeAnnounce(w http.ResponseWriter, r *http.Request) {
-	var a Announcement
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxAnnouncementBytes)).Decode(&a); err != nil {
-		outcome.New(http.StatusBadRequest, outcome.ReasonBadRequest, outcome.NotRun, err.Error()).Write(w)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(s.Announce(a))
+// SetDrain stops or resumes new work. Waiting requests are refused at once.
+func (s *Sidecar) SetDrain(drain bool) {
+	s.draining.Store(drain)
+	a, _ := s.lease.get(time.Now())
+	s.admission.SetDrain(drain || a.State == StateDraining)
 }
 
-// SetDrain stops or resumes new work.
-func (s *Sidecar) SetDrain(drain bool) { s.draining.Store(drain) }
+// WaitIdle returns when no request is in progress, or with the context's error.
+func (s *Sidecar) WaitIdle(ctx context.Context) error { return s.active.wait(ctx) }
 
 // Load returns the upstream's load.
 func (s *Sidecar) Load() *pb.Load {
 	a, valid := s.lease.get(time.Now())
+	stats := s.admission.Stats()
 	return &pb.Load{
-		InFlight: uint32(s.inFlight.Load()), Slots: uint32(a.Slots), State: s.upstreamState(a, valid),
+		InFlight: uint32(stats.InFlight), Queued: uint32(stats.Queued), Slots: uint32(stats.Slots),
+		ServiceTimeUs: uint32(min(stats.Service, maxTimeout).Microseconds()),
+		State:         s.upstreamState(a, valid), ConfigVersion: s.cfg.ConfigVersion(),
 	}
 }
 
@@ -98,53 +127,101 @@
 
 // ServeHTTP runs a forwarded request at the upstream.
 func (s *Sidecar) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	problem := s.serve(w, r)
-	if problem != nil {
-		problem.Write(w)
+	s.active.enter()
+	defer s.active.leave()
+	answer := &answerWriter{ResponseWriter: w, sidecar: s}
+	c := &call{}
+	defer s.recoverPanic(answer, c)
+	problem := s.serve(answer, r, c)
+	if problem == nil || answer.wrote {
+		return
+	}
+	problem.RequestID = c.forwarded.requestID
+	s.metrics.refused(problem.Reason)
+	problem.Write(answer)
+}
+
+// recoverPanic answers a request whose handler panicked. The slot has been
+// released by then.
+func (s *Sidecar) recoverPanic(w *answerWriter, c *call) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause == http.ErrAbortHandler {
+		panic(cause)
+	}
+	s.events.Emit(event.HandlerPanic, event.Fields{"panic": panicText(cause), "request_id": c.forwarded.requestID})
+	if w.wrote {
+		panic(http.ErrAbortHandler)
+	}
+	result := outcome.NotRun
+	if c.attempt != nil && c.attempt.seal() {
+		result = outcome.Unknown
 	}
+	outcome.New(http.StatusInternalServerError, outcome.ReasonInternal, result, "the request handler failed").Write(w)
+}
+
+// call is the state of one request in the sidecar.
+type call struct {
+	forwarded forwarded
+	attempt   *attempt
+	problem   *outcome.Problem
+	crashed   bool
 }
 
-func (s *Sidecar) serve(w http.ResponseWriter, r *http.Request) *outcome.Problem {
+type callKey struct{}
+
+// Crashed reports whether the upstream crashed while it ran the request of this
+// context. It is meant for Config.Execute, after the wrapped handler returned.
+func Crashed(ctx context.Context) bool {
+	c, ok := ctx.Value(callKey{}).(*call)
+	return ok && c.crashed
+}
+
+func (s *Sidecar) serve(w http.ResponseWriter, r *http.Request, c *call) (problem *outcome.Problem) {
+	c.forwarded, problem = parseForwarded(r)
+	if problem != nil {
+		return problem
+	}
 	if got := r.Header.Get(outcome.HeaderTargetIncarnation); got != strconv.FormatUint(s.cfg.Incarnation, 10) {
 		return outcome.New(http.StatusServiceUnavailable, outcome.ReasonIncarnation, outcome.NotRun, "the request is for another incarnation of the node")
 	}
+	if problem = s.unavailable(); problem != nil {
+		return problem
+	}
+	deadline := time.Now().Add(c.forwarded.timeout)
+	ctx, cancel := context.WithDeadline(context.WithValue(r.Context(), callKey{}, c), deadline)
+	defer cancel()
+	s.followIntent()
+	release, err := s.admission.Acquire(ctx, admission.Request{
+		Rank: c.forwarded.rank, Caller: c.forwarded.caller, Deadline: deadline, NoWait: c.forwarded.noWait,
+	})
+	if err != nil {
+		return refusalProblem(err)
+	}
+	defer release()
+	defer s.metrics.observe(c.forwarded.rank, s.intent.Load(), time.Now())
+	s.execute.ServeHTTP(w, r.WithContext(ctx))
+	return c.problem
+}
+
+// unavailable returns why the upstream may not get a request now, or nil.
+func (s *Sidecar) unavailable() *outcome.Problem {
 	a, valid := s.lease.get(time.Now())
 	switch s.upstreamState(a, valid) {
 	case pb.UpstreamState_UPSTREAM_STATE_READY, pb.UpstreamState_UPSTREAM_STATE_WARMING:
+		return nil
 	case pb.UpstreamState_UPSTREAM_STATE_DRAINING:
 		return outcome.New(http.StatusServiceUnavailable, outcome.ReasonDraining, outcome.NotRun, "the upstream is draining")
-	default:
-		return outcome.New(http.StatusServiceUnavailable, outcome.ReasonLeaseLapsed, outcome.NotRun, "the upstream's lease is not valid")
-	}
-	if int(s.inFlight.Add(1)) > a.Slots {
-		s.inFlight.Add(-1)
-		return outcome.New(http.StatusServiceUnavailable, outcome.ReasonBusy, outcome.NotRun, "all slots are taken")
-	}
-	defer s.inFlight.Add(-1)
-	return s.forward(w, r, a.Address)
-}
-
-func (s *Sidecar) forward(w http.ResponseWriter, r *http.Request, address string) *outcome.Problem {
-	out := r.Clone(r.Context())
-	out.RequestURI = ""
-	out.URL.Scheme, out.URL.Host = "http", address
-	resp, err := s.client.RoundTrip(out)
-	if err != nil {
-		return upstreamFailure(r.Context(), err)
-	}
-	defer resp.Body.Close()
-	stream.CopyHeader(w.Header(), resp.Header)
-	w.Header().Set(outcome.HeaderOutcome, string(outcome.Run))
-	w.WriteHeader(resp.StatusCode)
-	if err := stream.CopyBody(w, resp.Body); err != nil {
-		panic(http.ErrAbortHandler)
 	}
-	return nil
+	return outcome.New(http.StatusServiceUnavailable, outcome.ReasonLeaseLapsed, outcome.NotRun, "the upstream's lease is not valid")
 }
 
-func upstreamFailure(ctx context.Context, err error) *outcome.Problem {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return outcome.New(http.StatusGatewayTimeout, outcome.ReasonDeadline, outcome.Unknown, "the deadline passed while the request was running")
+// followIntent passes a new intent on to admission.
+func (s *Sidecar) followIntent() {
+	old, current := s.intent.Load(), s.cfg.Intent()
+	if current != nil && current != old && s.intent.CompareAndSwap(old, current) {
+		s.admission.SetRanks(current.Ranks)
 	}
-	return outcome.New(http.StatusBadGateway, outcome.ReasonUpstreamFailed, outcome.Unknown, err.Error())
 }
--- a/pkg/stream/stream.go
+++ b/pkg/stream/stream.go
@@ -13,28 +13,6 @@
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, bufferBytes); return &b }}
 
-// hopHeaders are valid for one connection only (RFC 9110, section 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Transfer-Encoding", "Upgrade",
-}
-
-// CopyHeader adds all end-to-end headers of src to dst.
-func CopyHeader(dst, src http.Header) {
-	drop := map[string]bool{}
-	for _, h := range hopHeaders {
-		drop[h] = true
-	}
-	for _, v := range src.Values("Connection") {
-		drop[http.CanonicalHeaderKey(v)] = true
-	}
-	for name, values := range src {
-		if !drop[name] {
-			dst[name] = append([]string(nil), values...)
-		}
-	}
-}
-
 // CopyBody copies the body to w and flushes after each piece, so that slow
 // streams are not held back.
 func CopyBody(w http.ResponseWriter, body io.Reader) error {
