Forward 100 Continue before the final answer and widen crash evidence

Cause: an upstream that answers right after 100 Continue let the final header overtake the sidecar's own 100, so the caller did not send its body. A new incarnation that announced itself before the connection error was noticed did not count as a crash. A caller that stopped sending its body could delay a graceful stop without limit.

Change: the sidecar repeats 100 Continue before the final header, watches for a new incarnation from the dispatch on, and sets a read deadline on bodies.

The read deadline has no test.

Conclusion: streaming with Expect works; crash evidence covers restarts.

--- a/pkg/sidecar/attempt.go
+++ b/pkg/sidecar/attempt.go
@@ -24,6 +24,9 @@
 	// cancel ends the round trip, so that the transport does not try again.
 	cancel context.CancelFunc
 
+	// continued is set when the upstream asked for the body with 100 Continue.
+	continued atomic.Bool
+
 	mu      sync.Mutex
 	conn    *gatedConn
 	sealed  bool
@@ -66,6 +69,7 @@
 				c.attempt.Store(a)
 			}
 		},
+		Got100Continue: func() { a.continued.Store(true) },
 	})
 }
 
--- a/pkg/sidecar/crash.go
+++ b/pkg/sidecar/crash.go
@@ -16,15 +16,14 @@
 
 // hasCrashed looks for evidence that the upstream crashed after a connection
 // error, and ends its lease if there is any.
-func (s *Sidecar) hasCrashed(ctx context.Context, a Announcement) bool {
-	replaced := s.lease.replacement()
+func (s *Sidecar) hasCrashed(ctx context.Context, c *call, a Announcement) bool {
 	if s.refusesDial(a) {
 		return true
 	}
 	timer := time.NewTimer(crashWindow)
 	defer timer.Stop()
 	select {
-	case <-replaced:
+	case <-c.replaced:
 		s.endLease(a)
 		return true
 	case <-timer.C:
--- a/pkg/sidecar/dispatch.go
+++ b/pkg/sidecar/dispatch.go
@@ -39,9 +39,8 @@
 	if c.problem = c.attempt.check(); c.problem != nil {
 		return
 	}
-	// Without full duplex the server would read the whole request body before
-	// it sends the first byte of the answer.
-	_ = http.NewResponseController(w).EnableFullDuplex()
+	c.replaced = s.lease.replacement()
+	prepareConnection(w, r)
 	resp, err := s.transport.RoundTrip(upstreamRequest(c.attempt.trace(ctx), r, a.Address, c.forwarded))
 	if err != nil {
 		c.problem = s.failure(r.Context(), c, a, err)
@@ -51,12 +50,36 @@
 	if c.problem = invalidAnswer(r.Method, resp); c.problem != nil {
 		return
 	}
+	if c.attempt.continued.Load() {
+		// A final header that overtakes the 100 Continue would tell the caller
+		// not to send its body. A second 100 Continue is harmless.
+		w.WriteHeader(http.StatusContinue)
+	}
 	if err := copyAnswer(w, r, resp); err != nil {
 		c.crashed = r.Context().Err() == nil && s.refusesDial(a)
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// bodyGrace lets an answer about the deadline leave before the connection of a
+// caller that stopped sending its body fails.
+const bodyGrace = time.Second
+
+// prepareConnection sets up streaming both ways on the caller's connection.
+func prepareConnection(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	// Without full duplex the server would read the whole request body before
+	// it sends the first byte of the answer.
+	_ = control.EnableFullDuplex()
+	if r.ContentLength == 0 {
+		return
+	}
+	// The server reads the rest of the body after the handler returned. Without
+	// a deadline a caller that stops sending would delay a graceful stop.
+	deadline, _ := r.Context().Deadline()
+	_ = control.SetReadDeadline(deadline.Add(bodyGrace))
+}
+
 // blocked returns why the request may not be sent now, or nil.
 func (s *Sidecar) blocked(ctx context.Context, incarnation string) *outcome.Problem {
 	if p := s.unavailable(); p != nil {
@@ -119,7 +142,7 @@
 		return c.attempt.refusal
 	case ctx.Err() != nil:
 		return endProblem(ctx.Err(), result)
-	case result == outcome.Unknown && s.hasCrashed(ctx, a):
+	case result == outcome.Unknown && s.hasCrashed(ctx, c, a):
 		c.crashed = true
 		return outcome.New(http.StatusBadGateway, outcome.ReasonUpstreamCrashed, outcome.Unknown, "the upstream crashed while it ran the request")
 	}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -168,12 +168,15 @@
 	attempt   *attempt
 	problem   *outcome.Problem
 	crashed   bool
+	// replaced is closed when another incarnation announces itself after the dispatch.
+	replaced <-chan struct{}
 }
 
 type callKey struct{}
 
 // Crashed reports whether the upstream crashed while it ran the request of this
-// context. It is meant for Config.Execute, after the wrapped handler returned.
+// context. It is meant for Config.Execute, after the wrapped handler returned or
+// panicked with http.ErrAbortHandler, which it does when an answer was cut.
 func Crashed(ctx context.Context) bool {
 	c, ok := ctx.Value(callKey{}).(*call)
 	return ok && c.crashed
--- /dev/null
+++ b/pkg/sidecar/stream_test.go
@@ -0,0 +1,152 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/mulberrytray/mulberrytray/pkg/admission"
+	"github.com/mulberrytray/mulberrytray/pkg/intent"
+	"github.com/mulberrytray/mulberrytray/pkg/outcome"
+)
+
+// Guards against an answer that is held back until the request body ends, and
+// against a 100-continue that never arrives.
+func TestStreamsBothWays(t *testing.T) {
+	u := newRawUpstream(t, func(_ *rawUpstream, c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		body := bufio.NewReader(r.Body)
+		for {
+			line, err := body.ReadString('\n')
+			if err != nil {
+				_, _ = io.WriteString(c, "0\r\n\r\n")
+				return false
+			}
+			_, _ = io.WriteString(c, "5\r\n"+line+"\r\n")
+		}
+	})
+	server := serveSidecar(t, newSidecar(u.listener.Addr().String(), Config{}))
+	for _, expect := range []string{"", "100-continue"} {
+		reader, writer := io.Pipe()
+		r := newRequest("POST", server.URL, reader)
+		r.ContentLength = -1
+		if expect != "" {
+			r.Header.Set("Expect", expect)
+		}
+		resp, err := (&http.Transport{ExpectContinueTimeout: time.Minute}).RoundTrip(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer := bufio.NewReader(resp.Body)
+		for range 3 {
+			_, _ = io.WriteString(writer, "ping\n")
+			if line, err := answer.ReadString('\n'); err != nil || line != "ping\n" {
+				t.Fatalf("expect %q: line %q, %v", expect, line, err)
+			}
+		}
+		_ = writer.Close()
+		if rest, err := io.ReadAll(answer); err != nil || len(rest) > 0 {
+			t.Errorf("expect %q: rest %q, %v", expect, rest, err)
+		}
+		_ = resp.Body.Close()
+	}
+}
+
+// Guards against a restart of the upstream that is not recognised as a crash,
+// and against failures that are answered before the quarantine knows of them.
+func TestNewIncarnationIsCrash(t *testing.T) {
+	var s *Sidecar
+	u := newRawUpstream(t, func(u *rawUpstream, _ net.Conn, _ *http.Request) bool {
+		next := announcement(u.listener.Addr().String())
+		next.Incarnation = "u2"
+		s.Announce(next)
+		return false
+	})
+	var crashed, answered bool
+	s = newSidecar(u.listener.Addr().String(), Config{Execute: func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			next.ServeHTTP(w, r)
+			crashed, answered = Crashed(r.Context()), w.(*answerWriter).wrote
+		})
+	}})
+	resp := do(s, newRequest("GET", "http://x/", nil))
+	if got := resp.Header.Get(outcome.HeaderReason); got != string(outcome.ReasonUpstreamCrashed) {
+		t.Errorf("reason %q", got)
+	}
+	if !crashed || answered {
+		t.Errorf("crashed %v, answered before the outer handler returned %v", crashed, answered)
+	}
+}
+
+// Guards against a stop that does not wait for requests, a wait without end, a
+// no-wait request that queues, and metrics that miss them.
+func TestWaitIdleBusyAndMetrics(t *testing.T) {
+	arrived, finish := make(chan struct{}, 2), make(chan struct{})
+	u := newRawUpstream(t, func(u *rawUpstream, c net.Conn, r *http.Request) bool {
+		arrived <- struct{}{}
+		<-finish
+		return respond(okAnswer, true)(u, c, r)
+	})
+	registry := metrics.NewRegistry()
+	in := &intent.Intent{Ranks: []intent.Rank{{Name: "urgent", Worth: 1}}}
+	s := newSidecar(u.listener.Addr().String(), Config{Registry: registry, Intent: func() *intent.Intent { return in }})
+	done := make(chan int, 2)
+	for range 2 {
+		go func() { done <- do(s, newRequest("GET", "http://x/", nil)).StatusCode }()
+	}
+	<-arrived
+	<-arrived
+	r := newRequest("GET", "http://x/", nil)
+	r.Header.Set(outcome.HeaderQueue, outcome.QueueNoWait)
+	if resp := do(s, r); resp.Header.Get(outcome.HeaderReason) != string(outcome.ReasonBusy) || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("header %v, want busy with Retry-After", resp.Header)
+	}
+	s.SetDrain(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if err := s.WaitIdle(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("WaitIdle returns %v with requests in flight", err)
+	}
+	close(finish)
+	if a, b := <-done, <-done; a != 200 || b != 200 {
+		t.Errorf("status %d and %d of requests in flight during the drain", a, b)
+	}
+	if err := s.WaitIdle(t.Context()); err != nil {
+		t.Error(err)
+	}
+	busy := metrics.GetOrRegisterCounter("sidecar.refused.busy", registry).Count()
+	served, ok := registry.Get("sidecar.service_time_us.urgent").(metrics.Histogram)
+	if busy != 1 || !ok || served.Count() != 2 {
+		t.Errorf("%d busy refusals; service times found: %v", busy, ok)
+	}
+}
+
+// Guards against a deadline that only ends the request at the caller.
+func TestDeadlineWhileRunning(t *testing.T) {
+	u := newRawUpstream(t, func(_ *rawUpstream, c net.Conn, _ *http.Request) bool {
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	})
+	r := newRequest("POST", "http://x/", strings.NewReader("body"))
+	r.Header.Set(outcome.HeaderTimeout, "30")
+	resp := do(newSidecar(u.listener.Addr().String(), Config{}), r)
+	if got := resp.Header.Get(outcome.HeaderOutcome); resp.StatusCode != 504 || got != string(outcome.Unknown) {
+		t.Errorf("status %d, outcome %q", resp.StatusCode, got)
+	}
+}
+
+// Guards against a refusal that loses its delay or says that a request may have run.
+func TestRefusalProblem(t *testing.T) {
+	p := refusalProblem(&admission.Refusal{Reason: outcome.ReasonOverload, RetryAfter: time.Second})
+	if p.Status != 503 || p.Outcome != outcome.NotRun || p.RetryAfter != time.Second {
+		t.Errorf("problem %+v", p)
+	}
+}
