Wire tokens and crash quarantine into the sidecar's node

Cause: both packages were merged but no request passed through them.

Guard.Config.Crashed gets the request's context; sidecar.Failure lets a wrapper see the failure first.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -19,11 +19,13 @@
 	"github.com/mulberrytray/mulberrytray/pkg/configlog"
 	"github.com/mulberrytray/mulberrytray/pkg/configlog/httplog"
 	"github.com/mulberrytray/mulberrytray/pkg/event"
+	"github.com/mulberrytray/mulberrytray/pkg/idempotency"
 	"github.com/mulberrytray/mulberrytray/pkg/ingress"
 	"github.com/mulberrytray/mulberrytray/pkg/intent"
 	"github.com/mulberrytray/mulberrytray/pkg/membership"
 	"github.com/mulberrytray/mulberrytray/pkg/operator"
 	"github.com/mulberrytray/mulberrytray/pkg/peer"
+	"github.com/mulberrytray/mulberrytray/pkg/quarantine"
 	"github.com/mulberrytray/mulberrytray/pkg/routing"
 	"github.com/mulberrytray/mulberrytray/pkg/sidecar"
 	"github.com/mulberrytray/mulberrytray/pkg/telemetry"
@@ -58,7 +60,11 @@
 	peers   *peer.Client
 	agent   *membership.Agent
 	sidecar *sidecar.Sidecar
-	ingress *ingress.Ingress
+	// tokens and quarantine belong to the sidecar; guard is set with it.
+	tokens     *idempotency.Registry
+	quarantine *quarantine.Table
+	guard      *quarantine.Guard
+	ingress    *ingress.Ingress
 
 	servers []*http.Server
 	cancel  context.CancelFunc
@@ -87,6 +93,11 @@
 		{Name: eventDrain, Src: []string{stateStarting, stateServing}, Dst: stateDraining},
 		{Name: eventStop, Src: []string{stateDraining}, Dst: stateStopped},
 	}, fsm.Callbacks{})
+	n.quarantine = quarantine.NewTable(quarantine.TableConfig{})
+	n.tokens, err = idempotency.New(idempotency.Config{NodeID: s.NodeID, Incarnation: n.incarnation})
+	if err != nil {
+		return nil, fmt.Errorf("node: %w", err)
+	}
 	n.keeper = configlog.NewKeeper(n.log, n.events)
 	n.sidecar = n.newSidecar()
 	n.agent = membership.NewAgent(membership.Config{
@@ -116,8 +127,11 @@
 		OnSnapshot: func(_ context.Context, r *pb.FetchSnapshotRequest) (*pb.FetchSnapshotResponse, error) {
 			return n.snapshot(r)
 		},
+		OnQuarantine: n.handleQuarantine,
+		OnIssueToken: n.handleIssueToken,
+		OnProbeLoad:  n.handleProbe,
 	}).Mount(peerMux)
-	peerMux.Handle("/", n.sidecar)
+	peerMux.Handle("/", n.tokens.Wrap(n.sidecar))
 	localMux := http.NewServeMux()
 	localMux.HandleFunc("/v1/announce", n.sidecar.ServeAnnounce)
 	adminMux := http.NewServeMux()
@@ -141,6 +155,7 @@
 	n.goDo(func() { n.announceSelf(ctx) })
 	n.goDo(func() { n.followPeers(ctx) })
 	n.goDo(func() { n.refreshSelf(ctx) })
+	n.goDo(func() { n.gossipQuarantine(ctx) })
 	if err := n.lifecycle.Event(ctx, eventServe); err != nil {
 		return fmt.Errorf("node: %w", err)
 	}
--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -131,7 +131,7 @@
 				node := Designate(fp, ids)
 				return node, node == id
 			},
-			Crashed: func() bool { return false },
+			Crashed: func(context.Context) bool { return false },
 		}, m.table, fleetBroadcaster{f, i}, event.Discard())
 		m.guard, m.wait = g.Wrap(m), g.Wait
 		f.members = append(f.members, m)
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -47,9 +47,10 @@
 	// Designated returns the node that runs a suspect and whether this node is the one. It
 	// returns "" if no sidecar of the service is ready.
 	Designated func(fingerprint uint64) (nodeID string, self bool)
-	// Crashed reports whether the upstream has crashed. It is called when an answer is aborted.
+	// Crashed reports whether the upstream crashed while it ran the request of the context. It is
+	// called when an answer is aborted.
 	// Default: never.
-	Crashed func() bool
+	Crashed func(context.Context) bool
 	// Pinned reports whether a request can run on this node only, such as one with an
 	// idempotency token. A pinned suspect is tried here, since no other node may run it.
 	// Default: never.
@@ -107,7 +108,7 @@
 		cfg.Linger = DefaultLinger
 	}
 	if cfg.Crashed == nil {
-		cfg.Crashed = func() bool { return false }
+		cfg.Crashed = func(context.Context) bool { return false }
 	}
 	if cfg.Pinned == nil {
 		cfg.Pinned = func(*http.Request) bool { return false }
@@ -259,7 +260,7 @@
 	returned := false
 	// Deferred so that a panic in next also releases the weight.
 	defer func() {
-		if !returned && g.cfg.Crashed() {
+		if !returned && g.cfg.Crashed(r.Context()) {
 			g.crashed(c)
 		}
 		g.finish(c, gate.outcome(returned))
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -32,7 +32,7 @@
 	return NewGuard(Config{
 		Service:    func() string { return "kasse" },
 		Designated: func(uint64) (string, bool) { return "n0", true },
-		Crashed:    func() bool { return crashed },
+		Crashed:    func(context.Context) bool { return crashed },
 	}, table, b, event.Discard()), table
 }
 
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -182,6 +182,17 @@
 	return ok && c.crashed
 }
 
+// Failure returns the problem that the handler wrapped by Config.Execute left for
+// the request of this context, or nil. A wrapper may write it itself, to see it
+// before the caller does.
+func Failure(ctx context.Context) *outcome.Problem {
+	c, ok := ctx.Value(callKey{}).(*call)
+	if !ok {
+		return nil
+	}
+	return c.problem
+}
+
 func (s *Sidecar) serve(w http.ResponseWriter, r *http.Request, c *call) (problem *outcome.Problem) {
 	c.forwarded, problem = parseForwarded(r)
 	if problem != nil {
