Complete SWIM, spread configuration by push and cap control bytes

Cause: probes chose members at random, suspected without indirect probes, kept no tombstones, did not check who answered, had no bound on bytes, and sorted all members under a lock on each request.

Change: shuffled round-robin probes with three indirect ones, suspicion scaled with log n, refutation, tombstones that carry their age, checks of target and incarnation, piggybacked updates with a transmit limit, urgent pushes, comparison of lists by digests, pause detection, and a token bucket over bytes sent and received. Service returns an immutable list through an atomic pointer. A node that hears of a newer configuration fetches it from the node that showed it. The control duties move to pkg/node/control.go. Entries of peers are validated.

--- a/pkg/membership/agent.go
+++ b/pkg/membership/agent.go
@@ -1,10 +1,9 @@
 package membership
 
 import (
-	"context"
-	"math/rand/v2"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -13,240 +12,158 @@
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 )
 
-// Config holds the settings of an Agent.
-type Config struct {
-	// Period between two probes. Default 1 s.
-	Period time.Duration
-	// ProbeTimeout bounds a direct probe. Default 300 ms.
-	ProbeTimeout time.Duration
-	// SuspicionTimeout after which a suspect is declared dead. Default 4 s.
-	SuspicionTimeout time.Duration
-}
-
 // Agent is this node's view of the fleet. It is safe for concurrent use.
 type Agent struct {
 	cfg       Config
 	transport Transport
 	events    *event.Logger
-
-	mu       sync.RWMutex
+	budget    *budget
+	meters    *meters
+	view      atomic.Pointer[view]
+	present   atomic.Int64
+	urgent    chan struct{}
+	syncSoon  chan string
+
+	mu       sync.Mutex
 	self     *pb.Member
-	members  map[string]*pb.Member
-	suspects map[string]time.Time
+	table    *table
+	queue    *queue
+	round    []string
 	onUpdate func(*pb.Member)
 }
 
 // NewAgent returns an agent that knows only itself.
 func NewAgent(cfg Config, self *pb.Member, transport Transport, events *event.Logger) *Agent {
+	cfg = cfg.withDefaults()
+	self = proto.Clone(self).(*pb.Member)
 	self.Status = pb.MemberStatus_MEMBER_STATUS_ALIVE
-	return &Agent{
+	a := &Agent{
 		cfg: cfg, transport: transport, events: events, self: self,
-		members: map[string]*pb.Member{}, suspects: map[string]time.Time{},
+		budget: newBudget(cfg.BytesPerSecond, cfg.BurstBytes), meters: newMeters(cfg.Registry),
+		urgent: make(chan struct{}, 1), syncSoon: make(chan string, 1),
+		table: newTable(), queue: newQueue(),
 	}
+	a.view.Store((&view{}).with(self.Service, self.NodeId, self))
+	a.updateSize()
+	return a
 }
 
 // OnUpdate sets a function that is called with each accepted update. Set it
-// before Run; it must not block.
+// before Run; it must not block and must not call the agent.
 func (a *Agent) OnUpdate(f func(*pb.Member)) { a.onUpdate = f }
 
-// Self returns a copy of this node's own entry.
+// Self returns this node's own entry. It must not be changed.
 func (a *Agent) Self() *pb.Member {
-	a.mu.RLock()
-	defer a.mu.RUnlock()
-	return proto.Clone(a.self).(*pb.Member)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.self
 }
 
-// UpdateSelf changes this node's own entry and spreads it.
-func (a *Agent) UpdateSelf(change func(*pb.Member)) {
+// Service returns the members of a service that are not dead or left, this node
+// included, ordered by id. It takes no lock. The result must not be changed.
+func (a *Agent) Service(name string) []*pb.Member { return a.view.Load().services[name] }
+
+// Size returns the number of members that are not dead or left, this node included.
+func (a *Agent) Size() int { return int(a.present.Load()) }
+
+// Members returns all known entries, this node's own and tombstones included,
+// ordered by id. The entries must not be changed. It sorts under a lock and is
+// meant for operators, not for the request path.
+func (a *Agent) Members() []*pb.Member {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	next := proto.Clone(a.self).(*pb.Member)
-	change(next)
-	if proto.Equal(next, a.self) {
-		return
-	}
-	next.Sequence++
-	a.self = next
+	return a.members()
 }
 
-// Members returns all known entries, this node's own included, ordered by id.
-// The entries must not be changed.
-func (a *Agent) Members() []*pb.Member {
-	a.mu.RLock()
-	defer a.mu.RUnlock()
-	list := make([]*pb.Member, 0, len(a.members)+1)
+func (a *Agent) members() []*pb.Member {
+	list := make([]*pb.Member, 0, len(a.table.entries)+1)
 	list = append(list, a.self)
-	for _, m := range a.members {
-		list = append(list, m)
+	for _, e := range a.table.entries {
+		list = append(list, e.member)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].NodeId < list[j].NodeId })
 	return list
 }
 
-// Merge applies updates received from a peer.
-func (a *Agent) Merge(updates ...*pb.Member) {
-	for _, u := range updates {
-		a.merge(u)
-	}
+// Random returns up to n random members that are alive and satisfy the condition.
+func (a *Agent) Random(n int, ok func(*pb.Member) bool) []*pb.Member {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.table.random(n, func(m *pb.Member) bool {
+		return m.Status == pb.MemberStatus_MEMBER_STATUS_ALIVE && ok(m)
+	})
 }
 
-func (a *Agent) merge(u *pb.Member) {
+// UpdateSelf changes this node's own entry and spreads it. A change of the
+// configuration version alone is shown on each contact and pushed at once, but
+// not passed on by others: at 1,600 nodes that would exceed the control budget.
+func (a *Agent) UpdateSelf(change func(*pb.Member)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if u.GetNodeId() == "" {
-		return
-	}
-	if u.NodeId == a.self.NodeId {
-		a.refute(u)
-		return
-	}
-	old := a.members[u.NodeId]
-	if old != nil && !Supersedes(u, old) {
+	next := proto.Clone(a.self).(*pb.Member)
+	change(next)
+	if proto.Equal(next, a.self) {
 		return
 	}
-	a.members[u.NodeId] = u
-	if u.Status == pb.MemberStatus_MEMBER_STATUS_SUSPECT {
-		if _, ok := a.suspects[u.NodeId]; !ok {
-			a.suspects[u.NodeId] = time.Now()
-		}
-	} else {
-		delete(a.suspects, u.NodeId)
+	old := a.self
+	version := next.ConfigVersion
+	next.ConfigVersion = old.ConfigVersion
+	if !proto.Equal(next, old) {
+		next.Sequence++
 	}
-	if a.onUpdate != nil {
-		a.onUpdate(u)
+	next.ConfigVersion = version
+	a.setSelf(next)
+	if version > old.ConfigVersion || urgentChange(old, next) {
+		a.wakeUrgent()
 	}
 }
 
-// refute raises the own sequence above a claim that this node is not alive.
-func (a *Agent) refute(u *pb.Member) {
-	if u.Incarnation != a.self.Incarnation || u.Status <= a.self.Status || u.Sequence < a.self.Sequence {
-		return
-	}
-	next := proto.Clone(a.self).(*pb.Member)
-	next.Sequence = u.Sequence + 1
+// setSelf replaces the own entry. It goes out as the sender of each message and
+// needs no place in the queue. The caller holds the lock.
+func (a *Agent) setSelf(next *pb.Member) {
+	a.show(a.self, next)
 	a.self = next
 }
 
-// HandlePing answers a probe of another node.
-func (a *Agent) HandlePing(req *pb.PingRequest) *pb.PingResponse {
-	a.Merge(req.Sender)
-	a.Merge(req.Updates...)
-	return &pb.PingResponse{Responder: a.Self(), Updates: a.sample()}
-}
-
-// HandleSync returns a page of the member list.
-func (a *Agent) HandleSync(req *pb.SyncRequest) *pb.SyncResponse {
-	a.Merge(req.Sender)
-	resp := &pb.SyncResponse{}
-	for _, m := range a.Members() {
-		if m.NodeId <= req.AfterNodeId {
-			continue
-		}
-		if len(resp.Members) == int(req.Limit) {
-			resp.NextAfterNodeId = resp.Members[len(resp.Members)-1].NodeId
-			break
-		}
-		resp.Members = append(resp.Members, m)
-	}
-	return resp
-}
-
-// maxUpdates is the number of updates on one message.
-const maxUpdates = 8
-
-func (a *Agent) sample() []*pb.Member {
-	all := a.Members()
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(maxUpdates, len(all))]
-}
-
-// syncLimit is the page size of Join.
-const syncLimit = 200
-
-// Join fetches the member list from one of the addresses.
-func (a *Agent) Join(ctx context.Context, addresses []string) error {
-	var err error
-	for _, addr := range addresses {
-		if err = a.syncFrom(ctx, addr); err == nil {
-			return nil
-		}
+// show replaces an entry in the view. The caller holds the lock.
+func (a *Agent) show(old, next *pb.Member) {
+	v := a.view.Load()
+	if old != nil && (old.Service != next.Service || gone(next)) {
+		v = v.with(old.Service, old.NodeId, nil)
 	}
-	return err
-}
-
-func (a *Agent) syncFrom(ctx context.Context, addr string) error {
-	after := ""
-	for {
-		resp, err := a.transport.Sync(ctx, addr, &pb.SyncRequest{Sender: a.Self(), AfterNodeId: after, Limit: syncLimit})
-		if err != nil {
-			return err
-		}
-		a.Merge(resp.Members...)
-		if resp.NextAfterNodeId == "" {
-			return nil
-		}
-		after = resp.NextAfterNodeId
+	if !gone(next) {
+		v = v.with(next.Service, next.NodeId, next)
 	}
+	a.view.Store(v)
 }
 
-// Run probes one member per period until the context ends.
-func (a *Agent) Run(ctx context.Context) {
-	ticker := time.NewTicker(a.cfg.Period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			a.probeOne(ctx)
-			a.expireSuspects()
-		}
-	}
+func (a *Agent) updateSize() {
+	a.present.Store(int64(a.table.present + 1))
+	a.meters.members.Update(int64(a.table.present + 1))
 }
 
-func (a *Agent) probeOne(ctx context.Context) {
-	target := a.pick()
-	if target == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, a.cfg.ProbeTimeout)
-	defer cancel()
-	resp, err := a.transport.Ping(ctx, target.PeerAddress, &pb.PingRequest{
-		Sender: a.Self(), Updates: a.sample(), TargetNodeId: target.NodeId,
-	})
-	if err != nil {
-		suspect := proto.Clone(target).(*pb.Member)
-		suspect.Status = pb.MemberStatus_MEMBER_STATUS_SUSPECT
-		a.Merge(suspect)
-		return
+// urgentChange reports whether peers must learn of the change at once.
+func urgentChange(old, next *pb.Member) bool {
+	if next.Status == pb.MemberStatus_MEMBER_STATUS_LEFT {
+		return true
 	}
-	a.Merge(resp.Responder)
-	a.Merge(resp.Updates...)
+	return next.UpstreamState >= pb.UpstreamState_UPSTREAM_STATE_DRAINING &&
+		(old == nil || old.UpstreamState != next.UpstreamState)
 }
 
-func (a *Agent) pick() *pb.Member {
-	var candidates []*pb.Member
-	for _, m := range a.Members() {
-		if m.NodeId != a.self.NodeId && m.Status <= pb.MemberStatus_MEMBER_STATUS_SUSPECT {
-			candidates = append(candidates, m)
-		}
-	}
-	if len(candidates) == 0 {
-		return nil
+func (a *Agent) wakeUrgent() {
+	select {
+	case a.urgent <- struct{}{}:
+	default:
 	}
-	return candidates[rand.IntN(len(candidates))]
 }
 
-func (a *Agent) expireSuspects() {
-	a.mu.RLock()
-	var expired []*pb.Member
-	for id, since := range a.suspects {
-		if time.Since(since) > a.cfg.SuspicionTimeout {
-			dead := proto.Clone(a.members[id]).(*pb.Member)
-			dead.Status = pb.MemberStatus_MEMBER_STATUS_DEAD
-			expired = append(expired, dead)
-		}
+// withAge returns the entry as it is sent: a tombstone carries its age.
+func withAge(m *pb.Member, since time.Time) *pb.Member {
+	if !gone(m) {
+		return m
 	}
-	a.mu.RUnlock()
-	a.Merge(expired...)
+	m = proto.Clone(m).(*pb.Member)
+	m.StatusAgeS = uint32(time.Since(since) / time.Second)
+	return m
 }
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -18,7 +18,9 @@
 }
 
 // Supersedes reports whether the update a replaces what is known as b.
-// A larger incarnation always wins, then a larger sequence, then the worse status.
+// A larger incarnation always wins, then a larger sequence, then the worse
+// status, then the higher configuration version. Each of them only grows at its
+// owner, so all nodes keep the same entry whatever the order of arrival.
 func Supersedes(a, b *pb.Member) bool {
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
@@ -26,5 +28,13 @@
 	if a.Sequence != b.Sequence {
 		return a.Sequence > b.Sequence
 	}
-	return a.Status > b.Status
+	if a.Status != b.Status {
+		return a.Status > b.Status
+	}
+	return a.ConfigVersion > b.ConfigVersion
+}
+
+// gone reports whether the entry is a tombstone.
+func gone(m *pb.Member) bool {
+	return m.Status >= pb.MemberStatus_MEMBER_STATUS_DEAD
 }
--- /dev/null
+++ b/pkg/membership/table.go
@@ -0,0 +1,137 @@
+package membership
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+)
+
+// entry is what is known of one other node. The member is immutable.
+type entry struct {
+	member *pb.Member
+	// since is when the member got its status here.
+	since time.Time
+}
+
+// table holds the entries of other nodes. It is not safe for concurrent use.
+type table struct {
+	entries map[string]*entry
+	present int
+}
+
+func newTable() *table { return &table{entries: map[string]*entry{}} }
+
+// apply puts the update in place if it supersedes the entry, and returns the
+// entry before, and whether anything changed.
+func (t *table) apply(u *pb.Member, since time.Time) (old *pb.Member, changed bool) {
+	e := t.entries[u.NodeId]
+	if e == nil {
+		if len(t.entries) >= maxMembers {
+			return nil, false
+		}
+		t.entries[u.NodeId] = &entry{member: u, since: since}
+		if !gone(u) {
+			t.present++
+		}
+		return nil, true
+	}
+	old = e.member
+	if !Supersedes(u, old) {
+		return old, false
+	}
+	if u.Incarnation != old.Incarnation || u.Status != old.Status || u.Sequence != old.Sequence {
+		e.since = since
+	}
+	if gone(old) && !gone(u) {
+		t.present++
+	} else if !gone(old) && gone(u) {
+		t.present--
+	}
+	e.member = u
+	return old, true
+}
+
+// dropTombstones forgets nodes that are gone for longer than ttl.
+func (t *table) dropTombstones(ttl time.Duration) {
+	for id, e := range t.entries {
+		if gone(e.member) && time.Since(e.since) > ttl {
+			delete(t.entries, id)
+		}
+	}
+}
+
+// random returns up to n different members that satisfy the condition.
+func (t *table) random(n int, ok func(*pb.Member) bool) []*pb.Member {
+	var out []*pb.Member
+	seen := 0
+	for _, e := range t.entries {
+		if !ok(e.member) {
+			continue
+		}
+		seen++
+		if len(out) < n {
+			out = append(out, e.member)
+		} else if i := rand.IntN(seen); i < n {
+			out[i] = e.member
+		}
+	}
+	return out
+}
+
+// bucketOf returns the bucket of a node id among n.
+func bucketOf(id string, n int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return int(h.Sum32() % uint32(n))
+}
+
+// digestOf hashes what decides between two versions of an entry. The
+// configuration version is left out, since each node shows its own on contact.
+func digestOf(m *pb.Member) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(m.NodeId))
+	for _, v := range []uint64{m.Incarnation, m.Sequence, uint64(m.Status)} {
+		for shift := 0; shift < 64; shift += 8 {
+			_, _ = h.Write([]byte{byte(v >> shift)})
+		}
+	}
+	return h.Sum32()
+}
+
+// view is an immutable index of the members that are not gone, by service.
+type view struct {
+	services map[string][]*pb.Member
+}
+
+// with returns a view in which the service's entry of the node is replaced by m,
+// or removed if m is nil.
+func (v *view) with(service, id string, m *pb.Member) *view {
+	if service == "" {
+		return v
+	}
+	next := &view{services: make(map[string][]*pb.Member, len(v.services)+1)}
+	for name, list := range v.services {
+		next.services[name] = list
+	}
+	list := slices.Clone(next.services[service])
+	at, found := slices.BinarySearchFunc(list, id, func(e *pb.Member, id string) int {
+		return strings.Compare(e.NodeId, id)
+	})
+	switch {
+	case m != nil && found:
+		list[at] = m
+	case m != nil:
+		list = slices.Insert(list, at, m)
+	case found:
+		list = slices.Delete(list, at, at+1)
+	}
+	next.services[service] = list
+	if len(list) == 0 {
+		delete(next.services, service)
+	}
+	return next
+}
--- /dev/null
+++ b/pkg/node/control.go
@@ -0,0 +1,254 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+	"github.com/mulberrytray/mulberrytray/pkg/configlog"
+	"github.com/mulberrytray/mulberrytray/pkg/membership"
+)
+
+const (
+	// pollsPerSecond bounds the reads of the log by the whole fleet.
+	pollsPerSecond = 20
+	// minRecordInterval and recordSpacing set the time between two records of this
+	// node on the members stream: the fleet appends at most one each 2 s, so that
+	// the newest 32 addresses are about a minute old.
+	minRecordInterval = 30 * time.Second
+	recordSpacing     = 2 * time.Second
+	// contactRetry is the time between two attempts of a node without peers.
+	contactRetry = time.Second
+	// contactRecords is the number of newest records read for the first contact,
+	// contactAtOnce the number of addresses shuffled and tried in turn.
+	contactRecords = 64
+	contactAtOnce  = 3
+
+	// fetchJitter spreads the fetches of a new configuration over its senders.
+	fetchJitter = 100 * time.Millisecond
+	// fetchTimeout bounds one fetch; another peer is asked after it.
+	fetchTimeout = 2 * time.Second
+	// fetchRetry is the time between two looks for a peer with a newer version.
+	fetchRetry = 500 * time.Millisecond
+	// refreshInterval of this node's own entry, well below the 3 s drain bound.
+	refreshInterval = 100 * time.Millisecond
+)
+
+// pollInterval grows with the fleet, and is jittered so that the polls of nodes
+// that start together drift apart.
+func (n *Node) pollInterval() time.Duration {
+	return lengthen(max(time.Second, time.Duration(n.agent.Size())*time.Second/pollsPerSecond))
+}
+
+func (n *Node) recordInterval() time.Duration {
+	return lengthen(max(minRecordInterval, time.Duration(n.agent.Size())*recordSpacing))
+}
+
+// lengthen adds up to a quarter at random.
+func lengthen(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Int64N(int64(d)/4+1))
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// announceSelf writes this node's address to the log and finds first peers.
+func (n *Node) announceSelf(ctx context.Context) {
+	data, err := proto.Marshal(&pb.MemberRecord{NodeId: n.settings.NodeID, Incarnation: n.incarnation, PeerAddress: n.settings.PeerAddress})
+	if err != nil {
+		return
+	}
+	var next, retry time.Time
+	refusals := 0
+	for ctx.Err() == nil {
+		if n.agent.Size() == 1 && !time.Now().Before(retry) {
+			if err := n.findPeers(ctx); errors.Is(err, membership.ErrOverBudget) {
+				retry = time.Now().Add(membership.RefusedWait(refusals))
+				refusals++
+			}
+		}
+		if !time.Now().Before(next) {
+			if _, err := n.log.Append(ctx, configlog.StreamMembers, data); err == nil {
+				next = time.Now().Add(n.recordInterval())
+			}
+		}
+		wait(ctx, lengthen(contactRetry))
+	}
+}
+
+// findPeers joins through the peers of the settings, or else through the newest
+// addresses on the log, a few at a time until one answers.
+func (n *Node) findPeers(ctx context.Context) error {
+	result := n.agent.Join(ctx, n.settings.Peers)
+	if result == nil {
+		return nil
+	}
+	addresses := n.newestAddresses(ctx)
+	for len(addresses) > 0 && ctx.Err() == nil {
+		group := addresses[:min(contactAtOnce, len(addresses))]
+		addresses = addresses[len(group):]
+		rand.Shuffle(len(group), func(i, j int) { group[i], group[j] = group[j], group[i] })
+		result = n.agent.Join(ctx, group)
+		if result == nil || errors.Is(result, membership.ErrOverBudget) {
+			break
+		}
+	}
+	return result
+}
+
+// newestAddresses returns the addresses of other nodes on the members stream,
+// the newest first.
+func (n *Node) newestAddresses(ctx context.Context) []string {
+	head, err := n.log.Read(ctx, configlog.StreamMembers, 0, 1)
+	if err != nil {
+		return nil
+	}
+	from := head.Earliest
+	if head.End > from+contactRecords {
+		from = head.End - contactRecords
+	}
+	batch, err := n.log.Read(ctx, configlog.StreamMembers, from, contactRecords)
+	if err != nil {
+		return nil
+	}
+	var out []string
+	seen := map[string]bool{n.settings.NodeID: true}
+	for i := len(batch.Entries) - 1; i >= 0; i-- {
+		var rec pb.MemberRecord
+		if err := proto.Unmarshal(batch.Entries[i].Data, &rec); err != nil || seen[rec.NodeId] || !membership.ValidAddress(rec.PeerAddress) {
+			continue
+		}
+		seen[rec.NodeId] = true
+		out = append(out, rec.PeerAddress)
+	}
+	return out
+}
+
+// noteVersion wakes followPeers when a peer shows a newer configuration. It is
+// called on each accepted membership update and does not block.
+func (n *Node) noteVersion(m *pb.Member) {
+	if m.ConfigVersion <= n.keeper.Current().Version || m.Status > pb.MemberStatus_MEMBER_STATUS_SUSPECT {
+		return
+	}
+	select {
+	case n.newer <- m.PeerAddress:
+	default:
+	}
+}
+
+// followPeers fetches the configuration from a peer that has a newer one, one
+// fetch at a time.
+func (n *Node) followPeers(ctx context.Context) {
+	for {
+		address := ""
+		select {
+		case <-ctx.Done():
+			return
+		case address = <-n.newer:
+		case <-time.After(fetchRetry):
+			address = n.newerPeer()
+		}
+		if address == "" {
+			continue
+		}
+		wait(ctx, time.Duration(rand.Int64N(int64(fetchJitter))))
+		if err := n.fetch(ctx, address); err != nil && !errors.Is(err, membership.ErrOverBudget) {
+			if other := n.newerPeer(); other != "" {
+				_ = n.fetch(ctx, other)
+			}
+		}
+	}
+}
+
+// newerPeer returns the address of a random member with a newer configuration.
+func (n *Node) newerPeer() string {
+	have := n.keeper.Current().Version
+	for _, m := range n.agent.Random(1, func(m *pb.Member) bool { return m.ConfigVersion > have }) {
+		return m.PeerAddress
+	}
+	return ""
+}
+
+// fetch installs the configuration of the peer if it is newer, and shows the new
+// version to others at once.
+func (n *Node) fetch(ctx context.Context, address string) error {
+	if !n.agent.AllowFetch() {
+		return membership.ErrOverBudget
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	resp, err := n.peers.FetchSnapshot(ctx, address, &pb.FetchSnapshotRequest{HaveVersion: n.keeper.Current().Version})
+	if err != nil {
+		return err
+	}
+	n.agent.ChargeFetch(proto.Size(resp))
+	if len(resp.Snapshot) == 0 {
+		return nil
+	}
+	if err := n.keeper.Merge(resp.Snapshot); err != nil {
+		return err
+	}
+	n.showSelf()
+	return nil
+}
+
+// refreshSelf keeps this node's own membership entry up to date.
+func (n *Node) refreshSelf(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.showSelf()
+		wait(ctx, refreshInterval)
+	}
+}
+
+func (n *Node) showSelf() {
+	load := n.sidecar.Load()
+	n.agent.UpdateSelf(func(m *pb.Member) {
+		m.Service, m.UpstreamState, m.Slots = n.sidecar.Service(), load.State, load.Slots
+		m.ConfigVersion = max(m.ConfigVersion, n.keeper.Current().Version)
+	})
+}
+
+func (n *Node) handlePing(_ context.Context, r *pb.PingRequest) (*pb.PingResponse, error) {
+	resp, err := n.agent.HandlePing(r)
+	return resp, controlError(err)
+}
+
+func (n *Node) handleSync(_ context.Context, r *pb.SyncRequest) (*pb.SyncResponse, error) {
+	resp, err := n.agent.HandleSync(r)
+	return resp, controlError(err)
+}
+
+func (n *Node) handleSnapshot(_ context.Context, r *pb.FetchSnapshotRequest) (*pb.FetchSnapshotResponse, error) {
+	cur := n.keeper.Current()
+	if cur.Version <= r.HaveVersion {
+		return &pb.FetchSnapshotResponse{}, nil
+	}
+	data, err := proto.Marshal(cur.State)
+	if err != nil {
+		return nil, err
+	}
+	if !n.agent.AllowServe(len(data)) {
+		return nil, controlError(membership.ErrOverBudget)
+	}
+	return &pb.FetchSnapshotResponse{Snapshot: data}, nil
+}
+
+// controlError maps membership errors to connect codes.
+func controlError(err error) error {
+	switch {
+	case errors.Is(err, membership.ErrWrongTarget):
+		return connect.NewError(connect.CodeFailedPrecondition, err)
+	case errors.Is(err, membership.ErrOverBudget):
+		return connect.NewError(connect.CodeResourceExhausted, err)
+	}
+	return err
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -13,7 +13,6 @@
 
 	"github.com/looplab/fsm"
 	"github.com/rcrowley/go-metrics"
-	"google.golang.org/protobuf/proto"
 
 	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
 	"github.com/mulberrytray/mulberrytray/pkg/configlog"
@@ -59,6 +58,8 @@
 	agent   *membership.Agent
 	sidecar *sidecar.Sidecar
 	ingress *ingress.Ingress
+	// newer takes the address of a peer that shows a newer configuration.
+	newer chan string
 
 	servers []*http.Server
 	cancel  context.CancelFunc
@@ -91,10 +92,13 @@
 	n.sidecar = sidecar.New(sidecar.Config{Incarnation: n.incarnation, LeaseTTL: leaseTTL}, n.events)
 	n.agent = membership.NewAgent(membership.Config{
 		Period: s.ProbePeriod, ProbeTimeout: 300 * time.Millisecond, SuspicionTimeout: 4 * time.Second,
+		Registry: n.registry,
 	}, &pb.Member{
 		NodeId: s.NodeID, Incarnation: n.incarnation, PeerAddress: s.PeerAddress, AdminAddress: s.AdminAddress,
 		Region: s.Region, FailureDomain: s.FailureDomain,
 	}, n.peers, n.events)
+	n.newer = make(chan string, 1)
+	n.agent.OnUpdate(n.noteVersion)
 	n.ingress = ingress.New(ingress.Config{DefaultTimeout: s.DefaultTimeout, MaxTimeout: 300 * time.Second},
 		n, n, &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true})
 	return n, nil
@@ -107,15 +111,8 @@
 	n.cancel = cancel
 	peerMux := http.NewServeMux()
 	(&peer.Handler{
-		OnPing: func(_ context.Context, r *pb.PingRequest) (*pb.PingResponse, error) {
-			return n.agent.HandlePing(r), nil
-		},
-		OnSync: func(_ context.Context, r *pb.SyncRequest) (*pb.SyncResponse, error) {
-			return n.agent.HandleSync(r), nil
-		},
-		OnSnapshot: func(_ context.Context, r *pb.FetchSnapshotRequest) (*pb.FetchSnapshotResponse, error) {
-			return n.snapshot(r)
-		},
+		OnPing: n.handlePing, OnPingIndirect: n.agent.HandlePingIndirect,
+		OnSync: n.handleSync, OnSnapshot: n.handleSnapshot,
 	}).Mount(peerMux)
 	peerMux.Handle("/", n.sidecar)
 	localMux := http.NewServeMux()
@@ -192,6 +189,9 @@
 	n.sidecar.SetDrain(true)
 	var errs []error
 	for i := len(n.servers) - 1; i >= 0; i-- {
+		if i == 0 { // the peer listener, which answers probes
+			n.agent.Leave(ctx)
+		}
 		errs = append(errs, n.servers[i].Shutdown(ctx))
 	}
 	n.cancel()
@@ -203,106 +203,12 @@
 	return errors.Join(errs...)
 }
 
-// pollsPerSecond bounds the reads of the log by the whole fleet.
-const pollsPerSecond = 20
-
-func (n *Node) pollInterval() time.Duration {
-	return max(time.Second, time.Duration(len(n.agent.Members()))*time.Second/pollsPerSecond)
-}
-
-// memberRecordInterval is the time between two records of this node on the members stream.
-const memberRecordInterval = 5 * time.Minute
-
-// announceSelf writes this node's address to the log and reads those of others.
-func (n *Node) announceSelf(ctx context.Context) {
-	if len(n.settings.Peers) > 0 {
-		_ = n.agent.Join(ctx, n.settings.Peers)
-	}
-	data, err := proto.Marshal(&pb.MemberRecord{NodeId: n.settings.NodeID, Incarnation: n.incarnation, PeerAddress: n.settings.PeerAddress})
-	if err != nil {
-		return
-	}
-	for ctx.Err() == nil {
-		wait := memberRecordInterval
-		if err := n.contactViaLog(ctx, data); err != nil {
-			wait = time.Second
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-	}
-}
-
-func (n *Node) contactViaLog(ctx context.Context, self []byte) error {
-	if _, err := n.log.Append(ctx, configlog.StreamMembers, self); err != nil {
-		return err
-	}
-	batch, err := n.log.Read(ctx, configlog.StreamMembers, 0, 256)
-	if err != nil {
-		return err
-	}
-	for _, e := range batch.Entries {
-		var rec pb.MemberRecord
-		if err := proto.Unmarshal(e.Data, &rec); err == nil && rec.NodeId != n.settings.NodeID {
-			_ = n.agent.Join(ctx, []string{rec.PeerAddress})
-		}
-	}
-	return nil
-}
-
-// followPeers fetches the configuration from a peer that has a newer one.
-func (n *Node) followPeers(ctx context.Context) {
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(200 * time.Millisecond):
-		}
-		have := n.keeper.Current().Version
-		for _, m := range n.agent.Members() {
-			if m.ConfigVersion <= have {
-				continue
-			}
-			resp, err := n.peers.FetchSnapshot(ctx, m.PeerAddress, &pb.FetchSnapshotRequest{HaveVersion: have})
-			if err == nil && len(resp.Snapshot) > 0 {
-				_ = n.keeper.Merge(resp.Snapshot)
-				break
-			}
-		}
-	}
-}
-
-// refreshSelf keeps this node's own membership entry up to date.
-func (n *Node) refreshSelf(ctx context.Context) {
-	for ctx.Err() == nil {
-		load := n.sidecar.Load()
-		n.agent.UpdateSelf(func(m *pb.Member) {
-			m.Service, m.UpstreamState, m.Slots = n.sidecar.Service(), load.State, load.Slots
-			m.ConfigVersion = n.keeper.Current().Version
-		})
-		select {
-		case <-ctx.Done():
-		case <-time.After(100 * time.Millisecond):
-		}
-	}
-}
-
-func (n *Node) snapshot(r *pb.FetchSnapshotRequest) (*pb.FetchSnapshotResponse, error) {
-	cur := n.keeper.Current()
-	if cur.Version <= r.HaveVersion {
-		return &pb.FetchSnapshotResponse{}, nil
-	}
-	data, err := proto.Marshal(cur.State)
-	return &pb.FetchSnapshotResponse{Snapshot: data}, err
-}
-
 // Candidates implements ingress.Directory.
 func (n *Node) Candidates(service string) []routing.Candidate {
 	var out []routing.Candidate
-	for _, m := range n.agent.Members() {
+	for _, m := range n.agent.Service(service) {
 		usable := m.UpstreamState == pb.UpstreamState_UPSTREAM_STATE_READY || m.UpstreamState == pb.UpstreamState_UPSTREAM_STATE_WARMING
-		if m.Service != service || !usable || m.Status > pb.MemberStatus_MEMBER_STATUS_SUSPECT {
+		if !usable {
 			continue
 		}
 		out = append(out, routing.Candidate{
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -11,11 +12,19 @@
 
 	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
 	pbconnect "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1/mulberrytrayv1connect"
+	"github.com/mulberrytray/mulberrytray/pkg/membership"
 )
 
 // MaxMessageBytes bounds each message between nodes.
 const MaxMessageBytes = 4 << 20
 
+// compressMinBytes is the size from which messages are compressed; gzip makes
+// probes larger.
+const compressMinBytes = 2 << 10
+
+// callTimeout bounds a call whose context has no earlier deadline.
+const callTimeout = 5 * time.Second
+
 // Client calls the peer services of other nodes by address. It is safe for
 // concurrent use.
 type Client struct {
@@ -35,12 +44,18 @@
 func (c *Client) at(address string) pbconnect.PeerServiceClient {
 	return pbconnect.NewPeerServiceClient(c.http, "http://"+address,
 		connect.WithReadMaxBytes(MaxMessageBytes), connect.WithSendMaxBytes(MaxMessageBytes),
-		connect.WithSendGzip())
+		connect.WithSendGzip(), connect.WithCompressMinBytes(compressMinBytes))
 }
 
-// call unwraps a connect response.
+// call bounds the time of a call and unwraps its response. It returns
+// membership.ErrOverBudget if the peer has no room for the answer.
 func call[Req, Res any](ctx context.Context, req *Req, f func(context.Context, *connect.Request[Req]) (*connect.Response[Res], error)) (*Res, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	resp, err := f(ctx, connect.NewRequest(req))
+	if connect.CodeOf(err) == connect.CodeResourceExhausted {
+		return nil, fmt.Errorf("%w: %w", membership.ErrOverBudget, err)
+	}
 	if err != nil {
 		return nil, err
 	}
