Spread suspicions at once and hold bytes for answers

Cause: in 300 runs of TestFalseSuspicionIsRefuted 41 healthy members were declared dead, since the refutation came with the regular probes only; and in 2 of 40 runs of the other tests concurrent calls exceeded the bytes of a window by 1%. The test fleet also read its peak without waiting.

Change: the start and the refutation of a suspicion are urgent updates; a call holds the bytes of its answer before it is sent, and a page of the list is charged before it is built. The page is 30 entries, and the comparison of lists leaves 40% of the burst instead of 50%, so that held bytes fit.

--- a/pkg/membership/budget.go
+++ b/pkg/membership/budget.go
@@ -25,7 +25,7 @@
 )
 
 // reserves are the parts of the burst that each class leaves to higher ones.
-var reserves = [...]float64{classProbe: 0, classUrgent: 0.2, classFetch: 0.1, classSync: 0.5}
+var reserves = [...]float64{classProbe: 0, classUrgent: 0.2, classFetch: 0.1, classSync: 0.4}
 
 // budget is a token bucket over control bytes, sent and received. It is safe for
 // concurrent use. Received bytes can put it into debt, which delays what is sent.
--- a/pkg/membership/fake_test.go
+++ b/pkg/membership/fake_test.go
@@ -195,6 +195,7 @@
 		defer func() {
 			cancel()
 			<-watched
+			t.Logf("peak %d bytes/s per node over %v", fl.peak/int(window/time.Second), window)
 			for _, node := range fl.list {
 				node.stop()
 			}
@@ -204,7 +205,6 @@
 			time.Sleep(2 * followDelay)
 		}()
 		f(fl)
-		t.Logf("peak %d bytes/s per node over %v", fl.peak/int(window/time.Second), window)
 	})
 }
 
--- a/pkg/membership/handle.go
+++ b/pkg/membership/handle.go
@@ -59,12 +59,13 @@
 	if req.GetSender() != nil {
 		a.Merge(req.Sender)
 	}
-	room := a.budget.room(syncClass(req)) - ResponseOverhead
-	if room < updateBytes || len(req.GetDigests()) > maxBuckets {
+	room := min(a.budget.room(syncClass(req))-ResponseOverhead, syncLimit*memberBytes)
+	if room < updateBytes || len(req.GetDigests()) > maxBuckets || !a.budget.take(syncClass(req), room+ResponseOverhead) {
 		a.meters.skipped.Inc(1)
 		a.answered(ResponseOverhead)
 		return nil, ErrOverBudget
 	}
+	defer a.release(room + ResponseOverhead)
 	resp := a.page(req, room)
 	a.answered(proto.Size(resp) + ResponseOverhead)
 	return resp, nil
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -78,12 +78,20 @@
 	if old == nil && !gone(u) || old != nil && gone(old) && !gone(u) {
 		a.addToRound(u.NodeId)
 	}
-	if old != nil && urgentChange(old, u) {
+	if old != nil && (urgentChange(old, u) || doubtChange(old, u)) {
 		a.wakeUrgent()
 	}
 	return transition{old, u}, true
 }
 
+// doubtChange reports whether a suspicion begins or is refuted. With the regular
+// probes alone, a refutation came after the suspicion timeout in 41 of 300 runs
+// of 40 nodes.
+func doubtChange(old, next *pb.Member) bool {
+	suspect := pb.MemberStatus_MEMBER_STATUS_SUSPECT
+	return (old.Status == suspect) != (next.Status == suspect) && !gone(next)
+}
+
 // refute raises the own sequence above a claim that this node is not alive.
 func (a *Agent) refute(u *pb.Member) {
 	if u.Incarnation != a.self.Incarnation || u.Status <= a.self.Status || u.Sequence < a.self.Sequence {
@@ -93,6 +101,7 @@
 	next.Sequence = u.Sequence + 1
 	a.setSelf(next)
 	a.meters.refutations.Inc(1)
+	a.wakeUrgent()
 }
 
 // report emits events and calls the update function, without the lock.
--- a/pkg/membership/meters.go
+++ b/pkg/membership/meters.go
@@ -40,9 +40,11 @@
 	a.meters.bytesOut.Inc(int64(n))
 }
 
-// allow charges a message that is about to be sent, or counts it as skipped.
-func (a *Agent) allow(c class, n int) bool {
-	if !a.budget.take(c, n) {
+// allow charges a message of n bytes that is about to be sent, and holds the
+// bytes of its answer, so that concurrent calls cannot exceed the budget
+// together. It counts the message as skipped if there is no room.
+func (a *Agent) allow(c class, n, answer int) bool {
+	if !a.budget.take(c, n+answer) {
 		a.meters.skipped.Inc(1)
 		return false
 	}
@@ -50,3 +52,7 @@
 	a.meters.bytesOut.Inc(int64(n))
 	return true
 }
+
+// release gives back the bytes held for an answer. The answer is then charged by
+// its true size.
+func (a *Agent) release(answer int) { a.budget.charge(-answer) }
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -171,9 +171,10 @@
 func (a *Agent) ping(ctx context.Context, c class, target *pb.Member, incarnation uint64) error {
 	req := &pb.PingRequest{Sender: a.Self(), TargetNodeId: target.NodeId, TargetIncarnation: incarnation}
 	req.Updates = a.updates(c, target.NodeId, true)
-	if !a.allow(c, proto.Size(req)+RequestOverhead) {
+	if !a.allow(c, proto.Size(req)+RequestOverhead, answerBytes) {
 		return ErrOverBudget
 	}
+	defer a.release(answerBytes)
 	ctx, cancel := context.WithTimeout(ctx, a.cfg.ProbeTimeout)
 	defer cancel()
 	resp, err := a.transport.Ping(ctx, target.PeerAddress, req)
@@ -192,6 +193,9 @@
 // updateBytes is the room that a full set of updates takes.
 const updateBytes = 1200
 
+// answerBytes are held for the answer to a probe.
+const answerBytes = updateBytes + ResponseOverhead
+
 // updates returns what to piggyback on a message to a node: first what is known
 // of it if that is bad, so that it can refute, then the newest updates.
 func (a *Agent) updates(c class, id string, always bool) []*pb.Member {
@@ -236,9 +240,10 @@
 
 func (a *Agent) askHelper(ctx context.Context, helper, target *pb.Member) bool {
 	req := &pb.PingIndirectRequest{Target: target}
-	if !a.allow(classProbe, proto.Size(req)+RequestOverhead) {
+	if !a.allow(classProbe, proto.Size(req)+RequestOverhead, ResponseOverhead) {
 		return false
 	}
+	defer a.release(ResponseOverhead)
 	resp, err := a.transport.PingIndirect(ctx, helper.PeerAddress, req)
 	if err != nil {
 		return false
--- a/pkg/membership/sync.go
+++ b/pkg/membership/sync.go
@@ -13,14 +13,16 @@
 )
 
 const (
-	// syncLimit is the largest page of entries, about 5 KB.
-	syncLimit = 40
+	// syncLimit is the largest page of entries, about 4.5 KB.
+	syncLimit = 30
 	// maxBuckets bounds the digests on one request to 1 KB.
 	maxBuckets = 256
 	// bucketMembers is the number of members per bucket up to that bound.
 	bucketMembers = 4
 	// syncFailures ends a comparison.
 	syncFailures = 10
+	// memberBytes is the size of a usual entry.
+	memberBytes = updateBytes / maxUpdates
 	// joinLimit is the first page of a joining node, which learns there whom else
 	// to ask.
 	joinLimit = 8
@@ -76,9 +78,11 @@
 		limit = joinLimit
 	}
 	req := &pb.SyncRequest{Sender: a.Self(), AfterNodeId: after, Limit: limit, Digests: digests}
-	if !a.allow(syncClass(req), proto.Size(req)+RequestOverhead) {
+	held := int(limit)*memberBytes + ResponseOverhead
+	if !a.allow(syncClass(req), proto.Size(req)+RequestOverhead, held) {
 		return "", ErrOverBudget
 	}
+	defer a.release(held)
 	ctx, cancel := context.WithTimeout(ctx, 2*a.cfg.Period)
 	defer cancel()
 	resp, err := a.transport.Sync(ctx, addr, req)
@@ -203,7 +207,7 @@
 
 // AllowFetch reports whether the budget has room to fetch a configuration. The
 // size of the answer is charged with ChargeFetch and delays later messages.
-func (a *Agent) AllowFetch() bool { return a.allow(classFetch, RequestOverhead) }
+func (a *Agent) AllowFetch() bool { return a.allow(classFetch, RequestOverhead, 0) }
 
 // ChargeFetch accounts for the bytes of a snapshot received from a peer.
 func (a *Agent) ChargeFetch(n int) { a.received(n + ResponseOverhead) }
