Validate intents and name the line and rule they break

Parse accepted unknown fields, any size and any value, so a typing error in an intent was confirmed silently. It now refuses these with a *ValidationError that names line and rule.

--- a/pkg/intent/intent.go
+++ b/pkg/intent/intent.go
@@ -4,7 +4,12 @@
 package intent
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
+	"io"
+	"regexp"
+	"strconv"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -68,18 +73,63 @@
 // DefaultMaxBodyBytes limits request bodies of services that state no limit.
 const DefaultMaxBodyBytes = 8 << 20
 
-// Parse decodes and validates an intent file.
+// Parse decodes and validates an intent file. It returns a *ValidationError for
+// the first rule that the file breaks. Unknown fields are refused.
 func Parse(data []byte) (*Intent, error) {
-	var in Intent
-	if err := yaml.Unmarshal(data, &in); err != nil {
-		return nil, fmt.Errorf("intent: %w", err)
+	if len(data) > MaxBytes {
+		return nil, &ValidationError{Rule: RuleSize, Detail: fmt.Sprintf("%d bytes, more than %d", len(data), MaxBytes)}
+	}
+	var doc yaml.Node
+	if err := yaml.Unmarshal(data, &doc); err != nil {
+		return nil, syntaxError(err)
+	}
+	if len(doc.Content) == 0 {
+		return nil, &ValidationError{Line: 1, Rule: RuleMissing, Detail: "the file is empty"}
+	}
+	in, err := decode(data)
+	if err != nil {
+		return nil, err
+	}
+	v := &validator{in: in, root: doc.Content[0]}
+	if err := v.run(); err != nil {
+		return nil, err
 	}
 	for i := range in.Services {
 		if in.Services[i].MaxBodyBytes == 0 {
 			in.Services[i].MaxBodyBytes = DefaultMaxBodyBytes
 		}
 	}
-	return &in, nil
+	return in, nil
+}
+
+// decode decodes one YAML document and refuses a second one.
+func decode(data []byte) (*Intent, error) {
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	dec.KnownFields(true)
+	in := &Intent{}
+	if err := dec.Decode(in); err != nil {
+		return nil, syntaxError(err)
+	}
+	var more yaml.Node
+	switch err := dec.Decode(&more); {
+	case err == nil:
+		return nil, &ValidationError{Line: more.Line, Rule: RuleSyntax, Detail: "a second document"}
+	case !errors.Is(err, io.EOF):
+		return nil, syntaxError(err)
+	}
+	return in, nil
+}
+
+var lineInMessage = regexp.MustCompile(`line (\d+): `)
+
+// syntaxError converts an error of the YAML library, which tells the line only
+// in its message.
+func syntaxError(err error) error {
+	v := &ValidationError{Rule: RuleSyntax, Detail: err.Error()}
+	if m := lineInMessage.FindStringSubmatch(v.Detail); m != nil {
+		v.Line, _ = strconv.Atoi(m[1])
+	}
+	return v
 }
 
 // Service returns the service of that name.
