Bound the replayed state and follow the log through its faults

A poll held the lock that readers needed for as long as the log took. No node wrote checkpoints.

Polls now hold no state lock during calls to the log.

Append says whether the record is not appended, may be appended, or is appended but unreadable.

--- /dev/null
+++ b/pkg/configlog/append.go
@@ -0,0 +1,87 @@
+package configlog
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+)
+
+// Backoff between two appends of the same record.
+const (
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = time.Second
+)
+
+// Append writes a record and waits until it is applied here. A failed append is
+// repeated with the same id until the context ends; replay ignores duplicates. A
+// failure is an *AppendError, or a *RecordError for a record that breaks a limit.
+//
+// Replay remembers the last 1024 record ids, so a record must not be appended
+// again after a longer time than it takes to write as many.
+func (k *Keeper) Append(ctx context.Context, rec *pb.Record) error {
+	data, err := EncodeRecord(rec)
+	if err != nil {
+		return err
+	}
+	if err := k.appendRepeatedly(ctx, rec.Id, data); err != nil {
+		return err
+	}
+	return k.awaitApplied(ctx, rec.Id)
+}
+
+func (k *Keeper) appendRepeatedly(ctx context.Context, id string, data []byte) error {
+	outcome := NotAppended
+	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		if ctx.Err() != nil {
+			return &AppendError{RecordID: id, Outcome: outcome, Err: ctx.Err()}
+		}
+		_, err := k.log.Append(ctx, StreamConfig, data)
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, ErrUnavailable) {
+			outcome = MaybeAppended
+		}
+		if outcome == MaybeAppended && k.Poll(ctx) == nil && k.applied(id) {
+			return nil
+		}
+		if !sleep(ctx, spread(backoff)) {
+			return &AppendError{RecordID: id, Outcome: outcome, Err: err}
+		}
+	}
+}
+
+// awaitApplied reads until the record is applied. The first reads may come from
+// a replica that does not have it yet.
+func (k *Keeper) awaitApplied(ctx context.Context, id string) error {
+	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		err := k.Poll(ctx)
+		if k.applied(id) {
+			return nil
+		}
+		if err == nil {
+			err = errors.New("the log does not return the record")
+		}
+		if !sleep(ctx, spread(backoff)) {
+			return &AppendError{RecordID: id, Outcome: Appended, Err: err}
+		}
+	}
+}
+
+func (k *Keeper) applied(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.replay.Applied(id)
+}
+
+// sleep waits for the duration. It returns false if the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/pkg/configlog/configlog.go
+++ b/pkg/configlog/configlog.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 )
 
 // Streams of the log that the system uses.
@@ -49,3 +50,31 @@
 	// returns no entries.
 	Read(ctx context.Context, stream string, from uint64, limit int) (Batch, error)
 }
+
+// AppendOutcome says what is known of a record whose append failed.
+type AppendOutcome string
+
+// Outcomes of an append.
+const (
+	// NotAppended means that the record is not on the log.
+	NotAppended AppendOutcome = "not appended"
+	// MaybeAppended means that the record may be on the log now or later.
+	MaybeAppended AppendOutcome = "may have been appended"
+	// Appended means that the record is on the log but could not be read back.
+	Appended AppendOutcome = "appended, but not yet readable"
+)
+
+// AppendError is the failure of Keeper.Append.
+type AppendError struct {
+	RecordID string
+	Outcome  AppendOutcome
+	Err      error
+}
+
+// Error implements error.
+func (e *AppendError) Error() string {
+	return fmt.Sprintf("record %s %s: %v", e.RecordID, e.Outcome, e.Err)
+}
+
+// Unwrap returns the last error of the log.
+func (e *AppendError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/pkg/configlog/keeper_test.go
@@ -0,0 +1,278 @@
+package configlog_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+	"github.com/mulberrytray/mulberrytray/pkg/configlog"
+	"github.com/mulberrytray/mulberrytray/pkg/event"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Guards against an append that reports success or failure wrongly while the
+// log shows faults.
+func TestAppendOutcome(t *testing.T) {
+	always := func() bool { return true }
+	hideAll := func() int { return 1000 }
+	for _, tc := range []struct {
+		desc    string
+		fault   func(*fakeLog)
+		outcome configlog.AppendOutcome
+	}{
+		{"no fault", func(*fakeLog) {}, ""},
+		{"down", func(l *fakeLog) { l.down = true }, configlog.NotAppended},
+		{"slower than the deadline", func(l *fakeLog) { l.delay = time.Minute }, configlog.MaybeAppended},
+		{"answer lost, readable", func(l *fakeLog) { l.loseAnswer = always }, ""},
+		{"answer lost, not readable", func(l *fakeLog) { l.loseAnswer, l.staleBy = always, hideAll }, configlog.MaybeAppended},
+		{"appended, not readable", func(l *fakeLog) { l.staleBy = hideAll }, configlog.Appended},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &fakeLog{}
+				tc.fault(l)
+				ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+				defer cancel()
+				err := newKeeper(l).Append(ctx, proposal("p", 0, intentYAML(1)))
+				var failure *configlog.AppendError
+				if errors.As(err, &failure); tc.outcome == "" && err != nil {
+					t.Fatal(err)
+				}
+				if tc.outcome != "" && (failure == nil || failure.Outcome != tc.outcome) {
+					t.Fatalf("got %v, want outcome %q", err, tc.outcome)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a lost answer that makes a change take effect twice.
+func TestRepeatedAppendAppliesOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &fakeLog{}
+		k := newKeeper(l)
+		lost := 0
+		l.loseAnswer = func() bool { lost++; return lost <= 3 }
+		l.staleBy = func() int {
+			if lost <= 3 {
+				return len(l.records)
+			}
+			return 0
+		}
+		mustAppend(t, k, proposal("p", 0, intentYAML(1)))
+		if l.appends != 4 {
+			t.Errorf("%d appends, want 4", l.appends)
+		}
+		if n := len(k.Current().State.Pending); n != 1 {
+			t.Errorf("%d pending proposals", n)
+		}
+	})
+}
+
+// Guards against readers that block, or lose the configuration, while the log
+// is slow or down.
+func TestFaultsKeepConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &fakeLog{}
+		k := newKeeper(l)
+		advance(t, k, 2)
+		l.set(func(l *fakeLog) { l.delay = time.Hour })
+		done := make(chan error)
+		go func() { done <- k.Poll(t.Context()) }()
+		synctest.Wait()
+		start := time.Now()
+		if v := k.Current().Version; v != 2 || k.LogError() != nil {
+			t.Errorf("version %d, error %v", v, k.LogError())
+		}
+		if err := k.Merge(mustMarshal(t, k.Current().State)); err != nil {
+			t.Error(err)
+		}
+		if waited := time.Since(start); waited > 0 {
+			t.Errorf("readers waited %v", waited)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := k.Poll(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("second poll: %v", err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		l.set(func(l *fakeLog) { l.delay, l.down = 0, true })
+		if err := k.Poll(t.Context()); !errors.Is(err, configlog.ErrUnavailable) || k.LogError() == nil {
+			t.Errorf("got %v, log error %v", err, k.LogError())
+		}
+		if v := k.Current().Version; v != 2 {
+			t.Errorf("version %d", v)
+		}
+	})
+}
+
+// Guards against a node that reverts or stops because a replica is behind.
+func TestStaleReplicaKeepsState(t *testing.T) {
+	var out bytes.Buffer
+	l := &fakeLog{}
+	k := configlog.NewKeeper(l, event.NewLogger(&out, event.FormatText, log.InfoLevel))
+	advance(t, k, 3)
+	l.set(func(l *fakeLog) { l.staleBy = func() int { return 3 } })
+	for range 2 {
+		if err := k.Poll(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := strings.Count(out.String(), "event=1106"); n != 1 || k.Current().Version != 3 {
+		t.Errorf("%d LogReset events, version %d", n, k.Current().Version)
+	}
+	l.set(func(l *fakeLog) { l.staleBy = nil })
+	advance(t, k, 4)
+}
+
+// Guards against the use of a checkpoint after which records are missing, and
+// against a lost configuration when the retention period passes.
+func TestGap(t *testing.T) {
+	for _, tc := range []struct {
+		desc string
+		// The checkpoint at offset 6 covers the records below validUpTo.
+		validUpTo, expireBelow uint64
+		usable                 bool
+	}{
+		{"all records after the checkpoint remain", 6, 6, true},
+		{"records between the valid offset and the checkpoint remain", 4, 4, true},
+		{"a record after the valid offset is gone", 4, 5, false},
+		{"the checkpoint is gone", 6, 7, false},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			var out bytes.Buffer
+			l := &fakeLog{}
+			writer := newKeeper(l)
+			advance(t, writer, 2)
+			behind := configlog.NewKeeper(l, event.NewLogger(&out, event.FormatText, log.InfoLevel))
+			if err := behind.Poll(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			mustAppend(t, writer, drainOrder("d1", "n1", true), drainOrder("d2", "n2", true))
+			mustAppend(t, writer, checkpoint("k", stateAt(l, tc.validUpTo)))
+			advance(t, writer, 3)
+			l.expire(tc.expireBelow)
+			fresh := newKeeper(l)
+			err := fresh.Poll(t.Context())
+			if (err == nil) != tc.usable || !tc.usable && !errors.Is(err, configlog.ErrGap) {
+				t.Fatalf("got %v", err)
+			}
+			if tc.usable && !proto.Equal(fresh.Current().State, writer.Current().State) {
+				t.Errorf("state from the checkpoint differs")
+			}
+			err = behind.Poll(t.Context())
+			gap := strings.Contains(out.String(), "event=1107")
+			if v := behind.Current().Version; gap != (err != nil) || err != nil && v != 2 {
+				t.Errorf("version %d, error %v, LogGap %v", v, err, gap)
+			}
+			if err := fresh.Merge(mustMarshal(t, writer.Current().State)); err != nil {
+				t.Fatal(err)
+			}
+			advance(t, fresh, 4)
+		})
+	}
+}
+
+// stateAt replays the records below the offset.
+func stateAt(l *fakeLog, offset uint64) *pb.ConfigState {
+	r := configlog.NewReplay(nil)
+	for o := range offset {
+		_ = r.Apply(o, l.records[o])
+	}
+	return r.State()
+}
+
+func mustMarshal(t *testing.T, m proto.Message) []byte {
+	t.Helper()
+	data, err := proto.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// Guards against a peer's snapshot that lowers the version, cannot be put in
+// force, or comes from another log.
+func TestMerge(t *testing.T) {
+	for _, tc := range []struct {
+		desc   string
+		change func(*pb.ConfigState)
+		// have is the version here; the snapshot is of version 3 before the change.
+		have, want uint64
+		refused    bool
+	}{
+		{"newer", func(*pb.ConfigState) {}, 2, 3, false},
+		{"to an empty node", func(*pb.ConfigState) {}, 0, 3, false},
+		{"older", func(*pb.ConfigState) {}, 4, 4, false},
+		{"same", func(*pb.ConfigState) {}, 3, 3, false},
+		{"same version, more records", func(s *pb.ConfigState) { s.NextOffset++; s.DrainedNodes = []string{"n"} }, 3, 3, false},
+		{"higher version, fewer records", func(s *pb.ConfigState) { s.NextOffset = 3 }, 2, 2, true},
+		{"lower version, more records", func(s *pb.ConfigState) { s.NextOffset = 100 }, 4, 4, true},
+		{"same version, other intent", func(s *pb.ConfigState) { s.NextOffset++; s.IntentYaml = intentYAML(9) }, 3, 3, true},
+		{"other history", func(s *pb.ConfigState) { s.History[0].ProposalId = "x" }, 2, 2, true},
+		{"history with a hole", func(s *pb.ConfigState) { s.History[1].Version = 9 }, 2, 2, true},
+		{"no history", func(s *pb.ConfigState) { s.History = nil }, 2, 2, true},
+		{"invalid intent", func(s *pb.ConfigState) { s.IntentYaml = "services: [" }, 2, 2, true},
+		{"more versions than records", func(s *pb.ConfigState) { s.NextOffset = 1 }, 0, 0, true},
+		{"pending proposal of another base", func(s *pb.ConfigState) { s.Pending = []*pb.PendingProposal{{Id: "p"}} }, 2, 2, true},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			l := &fakeLog{}
+			writer := newKeeper(l)
+			advance(t, writer, 3)
+			snapshot := proto.Clone(writer.Current().State).(*pb.ConfigState)
+			advance(t, writer, 4)
+			here := newKeeper(&fakeLog{records: l.records[:2*tc.have]})
+			if err := here.Poll(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			tc.change(snapshot)
+			err := here.Merge(mustMarshal(t, snapshot))
+			var refusal *configlog.StateError
+			if errors.As(err, &refusal) != tc.refused {
+				t.Errorf("got %v", err)
+			}
+			if v := here.Current().Version; v != tc.want {
+				t.Errorf("version %d, want %d", v, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against checkpoints that come too late for the retention period, and
+// against one from each node.
+func TestCheckpointsAreWrittenOnceByAFleet(t *testing.T) {
+	const nodes = 50
+	const retention = time.Hour
+	synctest.Test(t, func(t *testing.T) {
+		l := &fakeLog{}
+		advance(t, newKeeper(l), 2)
+		ctx, cancel := context.WithCancel(t.Context())
+		for range nodes {
+			k := configlog.NewKeeper(l, event.Discard(), configlog.WithRetention(retention))
+			go k.Run(ctx, func() time.Duration { return 80 * time.Second })
+		}
+		for _, limit := range []time.Duration{retention / 2, 2 * retention, 4 * retention} {
+			time.Sleep(limit)
+			t.Logf("%d checkpoints", l.checkpoints())
+		}
+		cancel()
+		synctest.Wait()
+		// 6.5 h hold at least one in each 3/4 h, and at most one in each 1/2 h.
+		if n := l.checkpoints(); n < 8 || n > 16 {
+			t.Errorf("%d checkpoints in 6.5 h", n)
+		}
+	})
+}
--- a/pkg/configlog/replay.go
+++ b/pkg/configlog/replay.go
@@ -9,11 +9,21 @@
 	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
 )
 
+// GapError means that records between the state and an entry are missing.
+type GapError struct {
+	// Next is the offset that the state needs, Got the one it was given.
+	Next, Got uint64
+}
+
+// Error implements error.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("the next record is at offset %d, got offset %d", e.Next, e.Got)
+}
+
+// Outcomes in the audit trail.
 const (
-	maxRecentIDs = 1024
-	maxAudit     = 1024
-	maxHistory   = 64
-	maxPending   = 64
+	OutcomeAccepted = "accepted"
+	OutcomeRefused  = "refused"
 )
 
 // Replay applies records to a state in offset order. It is deterministic: the
@@ -35,17 +45,27 @@
 	return proto.Clone(r.state).(*pb.ConfigState)
 }
 
-// Apply applies the record at the offset.
+// Applied reports whether the record id is among the most recently applied ones.
+func (r *Replay) Applied(id string) bool {
+	return slices.Contains(r.state.RecentIds, id)
+}
+
+// Apply applies the record at the offset. Records below the next offset were
+// applied before and are ignored. It returns a *GapError, without effect, for a
+// record above it, and an error for a record that is passed over as invalid.
 func (r *Replay) Apply(offset uint64, data []byte) error {
 	if offset < r.state.NextOffset {
 		return nil
 	}
+	if offset > r.state.NextOffset {
+		return &GapError{Next: r.state.NextOffset, Got: offset}
+	}
 	r.state.NextOffset = offset + 1
-	var rec pb.Record
-	if err := proto.Unmarshal(data, &rec); err != nil {
+	rec, err := DecodeRecord(data)
+	if err != nil {
 		return fmt.Errorf("record at offset %d: %w", offset, err)
 	}
-	if slices.Contains(r.state.RecentIds, rec.Id) {
+	if r.Applied(rec.Id) {
 		return nil
 	}
 	r.state.RecentIds = appendBounded(r.state.RecentIds, rec.Id, maxRecentIDs)
@@ -61,33 +81,60 @@
 }
 
 func (r *Replay) propose(offset uint64, id string, p *pb.Proposal) {
-	r.state.Pending = appendBounded(r.state.Pending, &pb.PendingProposal{Id: id, Proposal: p}, maxPending)
-	r.audit(&pb.AuditEntry{
+	entry := &pb.AuditEntry{
 		Offset: offset, RecordId: id, Action: "propose", Operator: p.Operator, TimeUnixMs: p.TimeUnixMs,
-		Outcome: "accepted", Version: p.BaseVersion, PlanDigest: p.PlanDigest,
-	})
+		Outcome: OutcomeAccepted, Version: p.BaseVersion, PlanDigest: p.PlanDigest,
+	}
+	if p.BaseVersion != r.state.Version {
+		entry.Outcome, entry.Detail = OutcomeRefused, r.movedBy(p.BaseVersion)
+		r.audit(entry)
+		return
+	}
+	pending := &pb.PendingProposal{Id: id, Proposal: p}
+	r.state.Pending = appendBounded(r.state.Pending, pending, maxPending)
+	r.state.Pending = trimBytes(r.state.Pending, maxPendingBytes)
+	r.audit(entry)
 }
 
 func (r *Replay) confirm(offset uint64, id string, c *pb.Confirmation) {
 	entry := &pb.AuditEntry{
 		Offset: offset, RecordId: id, Action: "confirm", Operator: c.Operator, TimeUnixMs: c.TimeUnixMs,
-		Outcome: "accepted", PlanDigest: c.PlanDigest,
-	}
-	proposal := r.pending(c.ProposalId)
-	switch {
-	case proposal == nil:
-		entry.Outcome, entry.Detail = "refused", "no such proposal: "+c.ProposalId
-	case proposal.PlanDigest != c.PlanDigest:
-		entry.Outcome, entry.Detail = "refused", "the digest is not that of the proposal's plan"
-	case proposal.BaseVersion != r.state.Version:
-		entry.Outcome, entry.Detail = "refused", r.movedBy(proposal.BaseVersion)
-	default:
-		r.accept(c, proposal)
+		Outcome: OutcomeAccepted, PlanDigest: c.PlanDigest,
+	}
+	if reason := r.refusal(c); reason != "" {
+		entry.Outcome, entry.Detail = OutcomeRefused, reason
+	} else {
+		r.accept(c, r.pending(c.ProposalId))
 	}
 	entry.Version = r.state.Version
 	r.audit(entry)
 }
 
+// refusal says why a confirmation has no effect, or returns "".
+func (r *Replay) refusal(c *pb.Confirmation) string {
+	if p := r.pending(c.ProposalId); p != nil {
+		if p.PlanDigest != c.PlanDigest {
+			return "the digest is not that of the proposal's plan"
+		}
+		if p.BaseVersion != r.state.Version {
+			return r.movedBy(p.BaseVersion)
+		}
+		return ""
+	}
+	for _, e := range r.state.Audit {
+		if e.RecordId != c.ProposalId || e.Action != "propose" {
+			continue
+		}
+		if e.Version != r.state.Version {
+			return r.movedBy(e.Version)
+		}
+		return "newer proposals displaced this one; propose it again"
+	}
+	return "no such proposal: " + c.ProposalId
+}
+
+// accept puts a pending proposal in force. All pending proposals have the version
+// that it replaces as their base, so they are stale from now on.
 func (r *Replay) accept(c *pb.Confirmation, p *pb.Proposal) {
 	r.state.Version++
 	r.state.IntentYaml = p.IntentYaml
@@ -95,9 +142,8 @@
 		Version: r.state.Version, Operator: c.Operator, ProposalId: c.ProposalId,
 		PlanDigest: c.PlanDigest, TimeUnixMs: c.TimeUnixMs, IntentYaml: p.IntentYaml,
 	}, maxHistory)
-	r.state.Pending = slices.DeleteFunc(r.state.Pending, func(x *pb.PendingProposal) bool {
-		return x.Id == c.ProposalId
-	})
+	trimHistoryIntents(r.state.History)
+	r.state.Pending = nil
 }
 
 // movedBy says who replaced the base version.
@@ -111,16 +157,25 @@
 }
 
 func (r *Replay) drain(offset uint64, id string, d *pb.DrainOrder) {
-	action := "undrain"
+	entry := &pb.AuditEntry{
+		Offset: offset, RecordId: id, Action: "undrain", Operator: d.Operator, TimeUnixMs: d.TimeUnixMs,
+		Outcome: OutcomeAccepted, Detail: d.NodeId, Version: r.state.Version,
+	}
 	r.state.DrainedNodes = slices.DeleteFunc(r.state.DrainedNodes, func(n string) bool { return n == d.NodeId })
 	if d.Drain {
-		action = "drain"
-		r.state.DrainedNodes = append(r.state.DrainedNodes, d.NodeId)
+		entry.Action = "drain"
+		r.addDrained(d, entry)
+	}
+	r.audit(entry)
+}
+
+func (r *Replay) addDrained(d *pb.DrainOrder, entry *pb.AuditEntry) {
+	if len(r.state.DrainedNodes) >= maxDrained {
+		entry.Outcome = OutcomeRefused
+		entry.Detail = fmt.Sprintf("%s: %d nodes are drained already", d.NodeId, maxDrained)
+		return
 	}
-	r.audit(&pb.AuditEntry{
-		Offset: offset, RecordId: id, Action: action, Operator: d.Operator, TimeUnixMs: d.TimeUnixMs,
-		Outcome: "accepted", Detail: d.NodeId, Version: r.state.Version,
-	})
+	r.state.DrainedNodes = append(r.state.DrainedNodes, d.NodeId)
 }
 
 func (r *Replay) pending(id string) *pb.Proposal {
