--- a/pkg/configlog/fake_test.go
+++ b/pkg/configlog/fake_test.go
@@ -89,12 +89,6 @@
 	change(l)
 }
 
-func (l *fakeLog) end() uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.earliest + uint64(len(l.records))
-}
-
 func (l *fakeLog) checkpoints() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
