Serve all calls of the operator and bound their input

GetPlan, SetDrain and the explanations were not served, inputs were unbounded, and a call waited as long as its client did while the log was down.

All calls are served now. Calls to the log end after 4 s, and the error says whether the record may be on the log. Decisions come through the Explainer port.

Conclusion: an operator always learns what became of a change.

--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -25,67 +26,149 @@
 
 // Service implements the operator's interface. It is safe for concurrent use.
 type Service struct {
-	pbconnect.UnimplementedOperatorServiceHandler
-	keeper *configlog.Keeper
-	fleet  Fleet
+	keeper    *configlog.Keeper
+	fleet     Fleet
+	explainer Explainer
+}
+
+var _ pbconnect.OperatorServiceHandler = (*Service)(nil)
+
+// Option changes a setting of a Service.
+type Option func(*Service)
+
+// WithExplainer sets the source of decisions for explanations.
+func WithExplainer(e Explainer) Option {
+	return func(s *Service) { s.explainer = e }
 }
 
 // New returns the service of one node.
-func New(k *configlog.Keeper, f Fleet) *Service {
-	return &Service{keeper: k, fleet: f}
+func New(k *configlog.Keeper, f Fleet, options ...Option) *Service {
+	s := &Service{keeper: k, fleet: f}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
+const (
+	// callTimeout bounds the calls to the log for one request of an operator.
+	callTimeout = 4 * time.Second
+	// maxRequestBytes bounds a request; the largest one holds an intent.
+	maxRequestBytes = intent.MaxBytes + 4<<10
+	// maxAuditLimit bounds the entries of one answer.
+	maxAuditLimit = 1024
+)
+
 // Mount registers the service on the mux.
 func (s *Service) Mount(mux *http.ServeMux) {
-	mux.Handle(pbconnect.NewOperatorServiceHandler(s))
+	mux.Handle(pbconnect.NewOperatorServiceHandler(s, connect.WithReadMaxBytes(maxRequestBytes)))
 }
 
 // Propose makes a plan from an intent and puts both on the log.
 func (s *Service) Propose(ctx context.Context, req *connect.Request[pb.ProposeRequest]) (*connect.Response[pb.ProposeResponse], error) {
+	if err := checkNames(name{"operator", req.Msg.Operator}); err != nil {
+		return nil, err
+	}
 	in, err := intent.Parse([]byte(req.Msg.IntentYaml))
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	if err := s.keeper.Poll(ctx); err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
+		return nil, connect.NewError(connect.CodeUnavailable, fmt.Errorf("the proposal was not appended: %w", err))
 	}
-	cur := s.keeper.Current()
-	planJSON, err := plan.Make(cur.Version, cur.Intent, in).Encode()
+	proposal, err := s.proposal(req.Msg, in)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
-	digest := plan.Digest(cur.Version, req.Msg.IntentYaml, planJSON)
 	id := uuid.NewString()
-	err = s.keeper.Append(ctx, &pb.Record{Id: id, Body: &pb.Record_Proposal{Proposal: &pb.Proposal{
-		BaseVersion: cur.Version, IntentYaml: req.Msg.IntentYaml, PlanDigest: digest,
-		Operator: req.Msg.Operator, TimeUnixMs: time.Now().UnixMilli(), PlanJson: planJSON,
-	}}})
-	if err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
+	if err := s.append(ctx, &pb.Record{Id: id, Body: &pb.Record_Proposal{Proposal: proposal}}); err != nil {
+		return nil, err
 	}
 	return connect.NewResponse(&pb.ProposeResponse{
-		ProposalId: id, PlanDigest: digest, BaseVersion: cur.Version, PlanJson: planJSON,
+		ProposalId: id, PlanDigest: proposal.PlanDigest, BaseVersion: proposal.BaseVersion, PlanJson: proposal.PlanJson,
 	}), nil
 }
 
+// proposal makes the plan of an intent against the latest version.
+func (s *Service) proposal(req *pb.ProposeRequest, in *intent.Intent) (*pb.Proposal, error) {
+	cur := s.keeper.Current()
+	// The state's version is ahead of the one in force if this node cannot parse it.
+	base := cur.State.Version
+	planJSON, err := plan.Make(base, cur.Intent, in).Encode()
+	if err != nil {
+		return nil, err
+	}
+	return &pb.Proposal{
+		BaseVersion: base, IntentYaml: req.IntentYaml, PlanDigest: plan.Digest(base, req.IntentYaml, planJSON),
+		Operator: req.Operator, TimeUnixMs: time.Now().UnixMilli(), PlanJson: planJSON,
+	}, nil
+}
+
+// append appends a record within callTimeout. Its error says whether the record
+// may be on the log.
+func (s *Service) append(ctx context.Context, rec *pb.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := s.keeper.Append(ctx, rec)
+	var invalid *configlog.RecordError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &invalid):
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	default:
+		return connect.NewError(connect.CodeUnavailable, err)
+	}
+}
+
+// GetPlan returns a proposal that can still be confirmed.
+func (s *Service) GetPlan(_ context.Context, req *connect.Request[pb.GetPlanRequest]) (*connect.Response[pb.GetPlanResponse], error) {
+	state := s.keeper.Current().State
+	for _, p := range state.Pending {
+		if p.Id == req.Msg.ProposalId {
+			return connect.NewResponse(&pb.GetPlanResponse{Proposal: p.Proposal, CurrentVersion: state.Version}), nil
+		}
+	}
+	return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("no pending proposal %q; the current version is %d", req.Msg.ProposalId, state.Version))
+}
+
 // Confirm appends a confirmation and reports how the log's order decided it.
 func (s *Service) Confirm(ctx context.Context, req *connect.Request[pb.ConfirmRequest]) (*connect.Response[pb.ConfirmResponse], error) {
+	if err := checkNames(name{"operator", req.Msg.Operator}, name{"proposal_id", req.Msg.ProposalId}, name{"plan_digest", req.Msg.PlanDigest}); err != nil {
+		return nil, err
+	}
 	id := uuid.NewString()
-	err := s.keeper.Append(ctx, &pb.Record{Id: id, Body: &pb.Record_Confirmation{Confirmation: &pb.Confirmation{
+	err := s.append(ctx, &pb.Record{Id: id, Body: &pb.Record_Confirmation{Confirmation: &pb.Confirmation{
 		ProposalId: req.Msg.ProposalId, PlanDigest: req.Msg.PlanDigest,
 		Operator: req.Msg.Operator, TimeUnixMs: time.Now().UnixMilli(),
 	}}})
 	if err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
+		return nil, err
 	}
 	for _, e := range s.keeper.Current().State.Audit {
 		if e.RecordId == id {
 			return connect.NewResponse(&pb.ConfirmResponse{
-				Accepted: e.Outcome == "accepted", Version: e.Version, Reason: e.Detail,
+				Accepted: e.Outcome == configlog.OutcomeAccepted, Version: e.Version, Reason: e.Detail,
 			}), nil
 		}
 	}
-	return nil, connect.NewError(connect.CodeUnavailable, errors.New("the confirmation was appended but is not yet readable"))
+	return nil, connect.NewError(connect.CodeUnavailable, fmt.Errorf("record %s was appended, but its audit entry is gone; see the audit trail", id))
+}
+
+// SetDrain appends a drain order. Nodes apply it when they read the log.
+func (s *Service) SetDrain(ctx context.Context, req *connect.Request[pb.SetDrainRequest]) (*connect.Response[pb.SetDrainResponse], error) {
+	if err := checkNames(name{"operator", req.Msg.Operator}, name{"node_id", req.Msg.NodeId}); err != nil {
+		return nil, err
+	}
+	err := s.append(ctx, &pb.Record{Id: uuid.NewString(), Body: &pb.Record_DrainOrder{DrainOrder: &pb.DrainOrder{
+		NodeId: req.Msg.NodeId, Drain: req.Msg.Drain, Operator: req.Msg.Operator, TimeUnixMs: time.Now().UnixMilli(),
+	}}})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&pb.SetDrainResponse{}), nil
 }
 
 // ListVersions returns the history of accepted versions.
@@ -96,7 +179,7 @@
 // Audit returns the latest entries of the audit trail.
 func (s *Service) Audit(_ context.Context, req *connect.Request[pb.AuditRequest]) (*connect.Response[pb.AuditResponse], error) {
 	entries := s.keeper.Current().State.Audit
-	if n := int(req.Msg.Limit); n > 0 && len(entries) > n {
+	if n := int(min(req.Msg.Limit, maxAuditLimit)); n > 0 && len(entries) > n {
 		entries = entries[len(entries)-n:]
 	}
 	return connect.NewResponse(&pb.AuditResponse{Entries: entries}), nil
