Complete the operator's command

mtctl knew three commands, and every failure ended with exit code 1.

It now has plan, watch, versions, audit, node, drain, undrain and explain, with tables for people and -o json for programs.

Conclusion: a change can be proposed, confirmed and followed with mtctl alone.

--- a/cmd/mtctl/main.go
+++ b/cmd/mtctl/main.go
@@ -3,82 +3,140 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/urfave/cli/v3"
 
-	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
 	pbconnect "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1/mulberrytrayv1connect"
 )
 
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+	exitRefused = 3
+)
+
+// usageError is a wrong command line.
+type usageError struct{ detail string }
+
+func (e *usageError) Error() string { return e.detail + "; see --help" }
+
+// refusedError is an intent or a confirmation that the fleet refused.
+type refusedError struct{ reason string }
+
+func (e *refusedError) Error() string { return "refused: " + e.reason }
+
 func main() {
-	if err := command().Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "mtctl:", err)
-		os.Exit(1)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	err := command().Run(ctx, os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "mtctl:", err)
+	stop()
+	os.Exit(exitCode(err))
+}
+
+func exitCode(err error) int {
+	var usage *usageError
+	var refused *refusedError
+	switch {
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &refused):
+		return exitRefused
+	default:
+		return exitFailure
 	}
 }
 
+const description = `Examples:
+  mtctl --node 127.0.0.1:8083 propose intent.yaml
+  mtctl plan PROPOSAL
+  mtctl confirm PROPOSAL DIGEST
+  mtctl watch --timeout 8s 12
+  mtctl -o json fleet
+  mtctl drain katalog-1
+  mtctl explain request 5f0c3c9e
+  mtctl explain upstream katalog-1
+
+Exit codes: 0 done, 1 failure, 2 wrong usage, 3 refused intent or confirmation.`
+
 func command() *cli.Command {
-	return &cli.Command{
-		Name:  "mtctl",
-		Usage: "operate a fleet of mulberrytray",
+	root := &cli.Command{
+		Name:        "mtctl",
+		Usage:       "operate a fleet of mulberrytray",
+		Description: description,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "node", Value: "127.0.0.1:8083", Usage: "IP:port of a node's admin listener", Sources: cli.EnvVars("MTCTL_NODE")},
-			&cli.StringFlag{Name: "operator", Value: os.Getenv("USER"), Usage: "name for the audit trail", Sources: cli.EnvVars("MTCTL_OPERATOR")},
+			&cli.StringFlag{Name: "operator", Value: os.Getenv("USER"), Usage: "name for the audit trail, 1 to 64 bytes", Sources: cli.EnvVars("MTCTL_OPERATOR")},
+			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "table", Usage: "table or json", Validator: validOutput},
 		},
+		Action: noCommand,
 		Commands: []*cli.Command{
-			{Name: "propose", Usage: "propose an intent and show its plan", ArgsUsage: "FILE", Action: propose},
-			{Name: "confirm", Usage: "put a proposal in force", ArgsUsage: "PROPOSAL DIGEST", Action: confirm},
-			{Name: "fleet", Usage: "show the members", Action: fleet},
+			leaf("propose", "propose an intent and show its plan", "FILE", propose),
+			leaf("plan", "show the plan of a pending proposal", "PROPOSAL", showPlan),
+			leaf("confirm", "put a proposal in force", "PROPOSAL DIGEST", confirm),
+			watchCommand(),
+			leaf("versions", "show the accepted versions", "", versions),
+			leaf("audit", "show the audit trail", "", audit, &cli.Uint32Flag{Name: "limit", Value: 50, Usage: "newest entries shown, 1 to 1024"}),
+			leaf("fleet", "show the members", "", fleet),
+			leaf("node", "show the state of the node asked", "", node),
+			leaf("drain", "give a node's upstream no new work", "NODE", setDrain(true)),
+			leaf("undrain", "give a node's upstream work again", "NODE", setDrain(false)),
+			{Name: "explain", Usage: "show why a node decided as it did", Action: noCommand, Commands: []*cli.Command{
+				leaf("request", "show the decisions about a request", "ID", explainRequest),
+				leaf("upstream", "show how an upstream is rated", "NODE", explainUpstream),
+			}},
 		},
 	}
+	setUsageErrors(root)
+	return root
 }
 
-func client(c *cli.Command) pbconnect.OperatorServiceClient {
-	return pbconnect.NewOperatorServiceClient(&http.Client{Timeout: 30 * time.Second}, "http://"+c.String("node"))
+// leaf returns a command that takes exactly the arguments named in args.
+func leaf(name, usage, args string, action cli.ActionFunc, flags ...cli.Flag) *cli.Command {
+	want := countFields(args)
+	return &cli.Command{Name: name, Usage: usage, ArgsUsage: args, Flags: flags,
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() != want {
+				return &usageError{fmt.Sprintf("%s takes %d arguments: %s", name, want, args)}
+			}
+			return action(ctx, c)
+		}}
 }
 
-func propose(ctx context.Context, c *cli.Command) error {
-	data, err := os.ReadFile(c.Args().First())
-	if err != nil {
-		return err
+func noCommand(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() > 0 {
+		return &usageError{fmt.Sprintf("unknown command %q", c.Args().First())}
 	}
-	resp, err := client(c).Propose(ctx, connect.NewRequest(&pb.ProposeRequest{IntentYaml: string(data), Operator: c.String("operator")}))
-	if err != nil {
-		return err
-	}
-	return printJSON(resp.Msg)
+	return &usageError{"no command given"}
 }
 
-func confirm(ctx context.Context, c *cli.Command) error {
-	resp, err := client(c).Confirm(ctx, connect.NewRequest(&pb.ConfirmRequest{
-		ProposalId: c.Args().Get(0), PlanDigest: c.Args().Get(1), Operator: c.String("operator"),
-	}))
-	if err != nil {
-		return err
+// setUsageErrors makes wrong flags of the command and all below it usage errors.
+func setUsageErrors(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return &usageError{err.Error()}
 	}
-	if !resp.Msg.Accepted {
-		return errors.New("refused: " + resp.Msg.Reason)
+	for _, sub := range c.Commands {
+		setUsageErrors(sub)
 	}
-	return printJSON(resp.Msg)
 }
 
-func fleet(ctx context.Context, c *cli.Command) error {
-	resp, err := client(c).FleetStatus(ctx, connect.NewRequest(&pb.FleetStatusRequest{}))
-	if err != nil {
-		return err
-	}
-	return printJSON(resp.Msg)
+// callTimeout bounds one call to a node. A node itself gives the log 8 s at most.
+const callTimeout = 12 * time.Second
+
+func client(c *cli.Command) pbconnect.OperatorServiceClient {
+	return clientAt(c.String("node"))
 }
 
-func printJSON(v any) error {
-	enc := json.NewEncoder(os.Stdout)
-	enc.SetIndent("", "  ")
-	return enc.Encode(v)
+func clientAt(address string) pbconnect.OperatorServiceClient {
+	return pbconnect.NewOperatorServiceClient(&http.Client{Timeout: callTimeout}, "http://"+address)
 }
--- /dev/null
+++ b/cmd/mtctl/output.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+func validOutput(s string) error {
+	if s != "table" && s != "json" {
+		return &usageError{fmt.Sprintf("output %q is not table or json", s)}
+	}
+	return nil
+}
+
+func countFields(s string) int { return len(strings.Fields(s)) }
+
+// show writes the value as JSON, or the rows as a table whose first row is the header.
+func show(c *cli.Command, value any, rows [][]string) error {
+	w := c.Root().Writer
+	if c.String("output") == "json" {
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		return enc.Encode(value)
+	}
+	return writeTable(w, rows)
+}
+
+func writeTable(w io.Writer, rows [][]string) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		fmt.Fprintln(t, strings.Join(row, "\t"))
+	}
+	return t.Flush()
+}
+
+func formatTime(unixMs int64) string {
+	return time.UnixMilli(unixMs).UTC().Format(time.RFC3339)
+}
+
+// short strips the common prefix of an enum's name.
+func short(enum fmt.Stringer, prefix string) string {
+	return strings.ToLower(strings.TrimPrefix(enum.String(), prefix))
+}
--- /dev/null
+++ b/cmd/mtctl/watch.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/urfave/cli/v3"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+)
+
+const (
+	// watchWorkers bounds the nodes asked at the same time.
+	watchWorkers = 32
+	// nodeTimeout bounds the answer of one node.
+	nodeTimeout = time.Second
+	// watchInterval is the pause between two rounds.
+	watchInterval = 500 * time.Millisecond
+)
+
+// lag tells why a node does not have the version in force.
+type lag struct {
+	Node   string `json:"node"`
+	Reason string `json:"reason"`
+}
+
+// watchResult is the outcome of one round.
+type watchResult struct {
+	Version uint64 `json:"version"`
+	Alive   int    `json:"alive"`
+	Missing []lag  `json:"missing"`
+}
+
+func watchCommand() *cli.Command {
+	return leaf("watch", "wait until a version is in effect at all alive members", "VERSION", watch,
+		&cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "how long to wait"})
+}
+
+func watch(ctx context.Context, c *cli.Command) error {
+	version, err := strconv.ParseUint(c.Args().First(), 10, 64)
+	if err != nil {
+		return &usageError{fmt.Sprintf("version %q is not a number", c.Args().First())}
+	}
+	deadline := time.Now().Add(c.Duration("timeout"))
+	for {
+		result, err := watchOnce(ctx, c, version)
+		if err != nil {
+			return err
+		}
+		done := len(result.Missing) == 0 && result.Alive > 0
+		if done || time.Now().After(deadline) || ctx.Err() != nil {
+			return reportWatch(c, result, done)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchInterval):
+		}
+	}
+}
+
+func watchOnce(ctx context.Context, c *cli.Command, version uint64) (watchResult, error) {
+	status, err := members(ctx, c)
+	if err != nil {
+		return watchResult{}, err
+	}
+	var alive []*pb.Member
+	for _, m := range status.Members {
+		if m.Status == pb.MemberStatus_MEMBER_STATUS_ALIVE {
+			alive = append(alive, m)
+		}
+	}
+	return watchResult{Version: version, Alive: len(alive), Missing: lagging(ctx, alive, version)}, nil
+}
+
+// lagging asks all nodes and returns those without the version, in the order given.
+func lagging(ctx context.Context, nodes []*pb.Member, version uint64) []lag {
+	reasons := make([]string, len(nodes))
+	slots := make(chan struct{}, watchWorkers)
+	var wg sync.WaitGroup
+	for i, m := range nodes {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			reasons[i] = lagReason(ctx, m, version)
+		})
+	}
+	wg.Wait()
+	missing := []lag{}
+	for i, reason := range reasons {
+		if reason != "" {
+			missing = append(missing, lag{nodes[i].NodeId, reason})
+		}
+	}
+	return missing
+}
+
+// lagReason returns why the node does not have the version, or "".
+func lagReason(ctx context.Context, m *pb.Member, version uint64) string {
+	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
+	defer cancel()
+	resp, err := clientAt(m.AdminAddress).NodeStatus(ctx, connect.NewRequest(&pb.NodeStatusRequest{}))
+	switch {
+	case err != nil:
+		return "no answer: " + err.Error()
+	case resp.Msg.ConfigVersion >= version:
+		return ""
+	case !resp.Msg.LogReachable:
+		return fmt.Sprintf("has version %d; log unreachable: %s", resp.Msg.ConfigVersion, resp.Msg.LogError)
+	default:
+		return fmt.Sprintf("has version %d", resp.Msg.ConfigVersion)
+	}
+}
+
+func reportWatch(c *cli.Command, r watchResult, done bool) error {
+	rows := [][]string{{"NODE", "REASON"}}
+	for _, l := range r.Missing {
+		rows = append(rows, []string{l.Node, l.Reason})
+	}
+	if done {
+		rows = [][]string{{fmt.Sprintf("version %d is in effect at all %d alive members", r.Version, r.Alive)}}
+	}
+	if err := show(c, r, rows); err != nil {
+		return err
+	}
+	if !done {
+		return fmt.Errorf("version %d is not in effect at %d of %d alive members", r.Version, len(r.Missing), r.Alive)
+	}
+	return nil
+}
