Show more faults in the log stand-in and bound its answers

Stale replicas, failing reads and a limit on appends could not be produced, one read could answer with hundreds of MiB, and the adapter reported an append as unknown although no connection had been made.

The stand-in shows these faults on command, takes records of up to 2 MiB (a checkpoint needs up to 1 MiB) and answers with about 4 MiB at most. The adapter reports a failed dial as unavailable.

--- a/internal/standin/platformlog/platformlog.go
+++ b/internal/standin/platformlog/platformlog.go
@@ -13,16 +13,6 @@
 	"github.com/mulberrytray/mulberrytray/pkg/configlog/httplog"
 )
 
-// Faults are the faults the log shows. The zero value shows none.
-type Faults struct {
-	// Down makes each call fail with 503 before it has an effect.
-	Down bool `json:"down"`
-	// DelayMs is added to each call.
-	DelayMs int `json:"delay_ms"`
-	// LoseAppendAnswers makes appends take effect and then cuts the connection.
-	LoseAppendAnswers bool `json:"lose_append_answers"`
-}
-
 // Server is the log. It is safe for concurrent use.
 type Server struct {
 	retention time.Duration
@@ -30,6 +20,9 @@
 	mu      sync.Mutex
 	streams map[string]*stream
 	faults  Faults
+	// appends counts those of the current second.
+	second  int64
+	appends int
 }
 
 type stream struct {
@@ -80,7 +73,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		f := s.getFaults()
 		time.Sleep(time.Duration(f.DelayMs) * time.Millisecond)
-		if f.Down {
+		if s.refuse(r.Method) {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
 		}
@@ -88,8 +81,12 @@
 	}
 }
 
-// maxRecordBytes bounds one record.
-const maxRecordBytes = 1 << 20
+// Limits in bytes of one record, and of the records of one answer to a read. An
+// answer holds at least one record.
+const (
+	maxRecordBytes = 2 << 20
+	maxAnswerBytes = 4 << 20
+)
 
 func (s *Server) append(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
@@ -123,9 +120,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(r.PathValue("stream"))
-	resp := httplog.ReadResponse{Earliest: st.earliest, End: st.earliest + uint64(len(st.records))}
-	for o := max(from, st.earliest); o < resp.End && len(resp.Records) < limit; o++ {
-		resp.Records = append(resp.Records, httplog.ReadRecord{Offset: o, Data: st.records[o-st.earliest].data})
+	resp := httplog.ReadResponse{Earliest: st.earliest, End: st.earliest + uint64(s.visible(st))}
+	size := 0
+	for o := max(from, st.earliest); o < resp.End && len(resp.Records) < limit && size < maxAnswerBytes; o++ {
+		data := st.records[o-st.earliest].data
+		size += len(data)
+		resp.Records = append(resp.Records, httplog.ReadRecord{Offset: o, Data: data})
 	}
 	writeJSON(w, resp)
 }
--- /dev/null
+++ b/internal/standin/platformlog/platformlog_test.go
@@ -0,0 +1,86 @@
+package platformlog_test
+
+import (
+	"errors"
+	"net/http/httptest"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/internal/standin/platformlog"
+	"github.com/mulberrytray/mulberrytray/pkg/configlog"
+	"github.com/mulberrytray/mulberrytray/pkg/configlog/httplog"
+)
+
+// Guards against a stand-in that does not show the fault asked for, and against
+// an adapter that reports an append's outcome wrongly.
+func TestFaults(t *testing.T) {
+	for _, tc := range []struct {
+		desc           string
+		faults         platformlog.Faults
+		append2, read  error
+		end, afterward uint64
+	}{
+		{"none", platformlog.Faults{}, nil, nil, 2, 2},
+		{"down", platformlog.Faults{Down: true}, configlog.ErrUnavailable, configlog.ErrUnavailable, 0, 1},
+		{"reads down", platformlog.Faults{ReadsDown: true}, nil, configlog.ErrUnavailable, 0, 2},
+		{"answer lost", platformlog.Faults{LoseAppendAnswers: true}, configlog.ErrUnknown, nil, 2, 2},
+		{"slow", platformlog.Faults{DelayMs: 400}, configlog.ErrUnknown, configlog.ErrUnavailable, 0, 2},
+		{"stale", platformlog.Faults{StaleMs: 3600000}, nil, nil, 0, 2},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			s, l := start(t)
+			if _, err := l.Append(t.Context(), "config", []byte("a")); err != nil {
+				t.Fatal(err)
+			}
+			s.SetFaults(tc.faults)
+			if _, err := l.Append(t.Context(), "config", []byte("b")); !errors.Is(err, tc.append2) {
+				t.Errorf("append: %v, want %v", err, tc.append2)
+			}
+			batch, err := l.Read(t.Context(), "config", 0, 10)
+			if !errors.Is(err, tc.read) || batch.End != tc.end || len(batch.Entries) != int(tc.end) {
+				t.Errorf("read: %v, end %d, %d entries", err, batch.End, len(batch.Entries))
+			}
+			time.Sleep(time.Duration(tc.faults.DelayMs) * time.Millisecond)
+			s.SetFaults(platformlog.Faults{})
+			if batch, err = l.Read(t.Context(), "config", 0, 10); err != nil || batch.End != tc.afterward {
+				t.Errorf("afterwards: %v, end %d", err, batch.End)
+			}
+		})
+	}
+}
+
+// Guards against a limit on appends that is not kept.
+func TestAppendLimit(t *testing.T) {
+	s, l := start(t)
+	s.SetFaults(platformlog.Faults{AppendsPerSecond: 1})
+	refused := 0
+	for range 10 {
+		if _, err := l.Append(t.Context(), "config", []byte("a")); errors.Is(err, configlog.ErrUnavailable) {
+			refused++
+		}
+	}
+	if refused < 5 {
+		t.Errorf("%d of 10 appends refused", refused)
+	}
+}
+
+// Guards against a certain failure that is reported as unknown.
+func TestNoServerIsUnavailable(t *testing.T) {
+	l := httplog.New(&url.URL{Scheme: "http", Host: "127.0.11.1:1"}, time.Second)
+	if _, err := l.Append(t.Context(), "config", nil); !errors.Is(err, configlog.ErrUnavailable) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func start(t *testing.T) (*platformlog.Server, *httplog.Client) {
+	t.Helper()
+	s := platformlog.New(time.Hour)
+	srv := httptest.NewServer(s.Handler())
+	t.Cleanup(srv.Close)
+	u, err := url.Parse(srv.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, httplog.New(u, 200*time.Millisecond)
+}
--- a/pkg/configlog/httplog/client.go
+++ b/pkg/configlog/httplog/client.go
@@ -10,8 +10,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -19,8 +21,9 @@
 	"github.com/mulberrytray/mulberrytray/pkg/configlog"
 )
 
-// maxResponseBytes bounds a read's answer.
-const maxResponseBytes = 32 << 20
+// maxResponseBytes bounds a read's answer. The log puts at most 4 MiB of records
+// and one more record of at most 2 MiB into it, encoded in base64.
+const maxResponseBytes = 16 << 20
 
 // AppendResponse is the body of an append's answer.
 type AppendResponse struct {
@@ -64,6 +67,9 @@
 	// not send one again by itself: the caller decides after ErrUnknown.
 	req.GetBody = nil
 	resp, err := c.client.Do(req)
+	if notConnected(err) {
+		return 0, fmt.Errorf("append to %s: %w: %w", stream, configlog.ErrUnavailable, err)
+	}
 	if err != nil {
 		return 0, fmt.Errorf("append to %s: %w: %w", stream, configlog.ErrUnknown, err)
 	}
@@ -108,6 +114,12 @@
 	return b, nil
 }
 
+// notConnected reports whether no connection was made, so that nothing was sent.
+func notConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 func decode(r io.Reader, v any) error {
 	return json.NewDecoder(io.LimitReader(r, maxResponseBytes)).Decode(v)
 }
