Show in a plan who gains and who loses

A plan listed changed ranks only. The shares are those of package admission. Capacity and demand come through plan.Fleet, which the node does not fill yet (operator.WithCapacity).

Golden tests hold four plans; the numbers of one service at twice the demand were checked by hand. Each plan is made 20 times more and is equal.

Conclusion: operators see the cost of an intent before they confirm it.

--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -29,6 +29,7 @@
 	keeper    *configlog.Keeper
 	fleet     Fleet
 	explainer Explainer
+	capacity  func() plan.Fleet
 }
 
 var _ pbconnect.OperatorServiceHandler = (*Service)(nil)
@@ -41,9 +42,15 @@
 	return func(s *Service) { s.explainer = e }
 }
 
+// WithCapacity sets the source of the capacity and demand that plans are made
+// from. Without it, plans list changes but no gains and losses.
+func WithCapacity(f func() plan.Fleet) Option {
+	return func(s *Service) { s.capacity = f }
+}
+
 // New returns the service of one node.
 func New(k *configlog.Keeper, f Fleet, options ...Option) *Service {
-	s := &Service{keeper: k, fleet: f}
+	s := &Service{keeper: k, fleet: f, capacity: func() plan.Fleet { return plan.Fleet{} }}
 	for _, o := range options {
 		o(s)
 	}
@@ -96,7 +103,7 @@
 	cur := s.keeper.Current()
 	// The state's version is ahead of the one in force if this node cannot parse it.
 	base := cur.State.Version
-	planJSON, err := plan.Make(base, cur.Intent, in).Encode()
+	planJSON, err := plan.Make(base, cur.Intent, in, s.capacity()).Encode()
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/pkg/plan/changes.go
@@ -0,0 +1,67 @@
+package plan
+
+import (
+	"fmt"
+
+	"github.com/mulberrytray/mulberrytray/pkg/intent"
+)
+
+// changes lists the differences of two intents in a fixed order: services, ranks,
+// probing, network.
+func changes(current, proposed *intent.Intent) []string {
+	list := []string{}
+	list = append(list, compare("service", current.Services, proposed.Services,
+		func(s intent.Service) string { return s.Name }, describeService)...)
+	list = append(list, compare("rank", current.Ranks, proposed.Ranks,
+		func(r intent.Rank) string { return r.Name }, describeRank)...)
+	if current.Probing != proposed.Probing {
+		list = append(list, fmt.Sprintf("probing: %s, was %s", describeProbing(proposed.Probing), describeProbing(current.Probing)))
+	}
+	if current.Network != proposed.Network {
+		list = append(list, fmt.Sprintf("network: %s, was %s", describeNetwork(proposed.Network), describeNetwork(current.Network)))
+	}
+	return list
+}
+
+// compare lists new and changed items in the proposed order, then removed ones in
+// the current order.
+func compare[T comparable](kind string, current, proposed []T, name func(T) string, describe func(T) string) []string {
+	old := map[string]T{}
+	for _, item := range current {
+		old[name(item)] = item
+	}
+	var list []string
+	kept := map[string]bool{}
+	for _, item := range proposed {
+		n := name(item)
+		kept[n] = true
+		before, known := old[n]
+		if !known {
+			list = append(list, fmt.Sprintf("%s %s: new, %s", kind, n, describe(item)))
+		} else if before != item {
+			list = append(list, fmt.Sprintf("%s %s: %s, was %s", kind, n, describe(item), describe(before)))
+		}
+	}
+	for _, item := range current {
+		if !kept[name(item)] {
+			list = append(list, fmt.Sprintf("%s %s: removed", kind, name(item)))
+		}
+	}
+	return list
+}
+
+func describeService(s intent.Service) string {
+	return fmt.Sprintf("require_token %t, max_body_bytes %d", s.RequireToken, s.MaxBodyBytes)
+}
+
+func describeRank(r intent.Rank) string {
+	return fmt.Sprintf("target %d ms, worth %g, reserve %g%%, urgent %t", r.TargetMs, r.Worth, r.ReservePercent, r.Urgent)
+}
+
+func describeProbing(p intent.Probing) string {
+	return fmt.Sprintf("%g probes/s for %d nodes", p.FleetProbesPerSecond, p.MaxNodes)
+}
+
+func describeNetwork(n intent.Network) string {
+	return fmt.Sprintf("caller %g ms, domain %g ms", n.CallerOneWayMs, n.DomainOneWayMs)
+}
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -1,4 +1,5 @@
-// Package plan works out what an intent would change: who gains and who loses.
+// Package plan works out what an intent would change: who gains and who loses,
+// in numbers derived from the fleet's present state.
 package plan
 
 import (
@@ -10,23 +11,66 @@
 	"github.com/mulberrytray/mulberrytray/pkg/intent"
 )
 
+// Fleet is the present state of the fleet.
+type Fleet struct {
+	Services []ServiceState
+}
+
+// ServiceState is the present state of one service.
+type ServiceState struct {
+	Name string
+	// CapacityPerSecond is the number of requests that all its upstreams can
+	// execute in a second.
+	CapacityPerSecond float64
+	// Demand in requests per second by rank. Ranks that an intent does not have
+	// are served nothing under it.
+	Demand map[string]float64
+}
+
 // Plan is what an operator confirms.
 type Plan struct {
 	BaseVersion uint64   `json:"base_version"`
 	Changes     []string `json:"changes"`
+	// Scenarios are today's demand and multiples of it.
+	Scenarios []Scenario `json:"scenarios"`
+}
+
+// Scenario compares both intents at one level of demand.
+type Scenario struct {
+	// DemandFactor multiplies today's demand.
+	DemandFactor float64 `json:"demand_factor"`
+	// WorthNow and WorthProposed are the worth served per second, both valued by
+	// the proposed worth of ranks, so that they can be compared.
+	WorthNow      float64 `json:"worth_now"`
+	WorthProposed float64 `json:"worth_proposed"`
+	// Gains are sorted by the greatest gain, Losses by the greatest loss.
+	Gains     []RankChange `json:"gains"`
+	Losses    []RankChange `json:"losses"`
+	Unchanged []RankChange `json:"unchanged"`
 }
 
-// Make compares the proposed intent with the one in force, which may be nil.
-func Make(base uint64, current, proposed *intent.Intent) Plan {
-	p := Plan{BaseVersion: base, Changes: []string{}}
-	for _, r := range proposed.Ranks {
-		if current == nil {
-			p.Changes = append(p.Changes, fmt.Sprintf("rank %s: new, worth %g, reserve %g%%", r.Name, r.Worth, r.ReservePercent))
-			continue
-		}
-		if old, ok := current.Rank(r.Name); ok && old != r {
-			p.Changes = append(p.Changes, fmt.Sprintf("rank %s: worth %g to %g, reserve %g%% to %g%%", r.Name, old.Worth, r.Worth, old.ReservePercent, r.ReservePercent))
-		}
+// RankChange is what one rank keeps, in requests per second and percent of demand.
+type RankChange struct {
+	Rank            string  `json:"rank"`
+	Demand          float64 `json:"demand"`
+	Now             float64 `json:"now"`
+	Proposed        float64 `json:"proposed"`
+	NowPercent      float64 `json:"now_percent"`
+	ProposedPercent float64 `json:"proposed_percent"`
+}
+
+// demandFactors are the levels of demand that a plan shows.
+var demandFactors = []float64{1, 2, 10}
+
+// Make compares the proposed intent with the one in force, which may be nil, at
+// the fleet's present state. The result is the same for equal input.
+func Make(base uint64, current, proposed *intent.Intent, fleet Fleet) Plan {
+	if current == nil {
+		current = &intent.Intent{}
+	}
+	p := Plan{BaseVersion: base, Changes: changes(current, proposed)}
+	for _, factor := range demandFactors {
+		p.Scenarios = append(p.Scenarios, scenario(current, proposed, fleet, factor))
 	}
 	return p
 }
@@ -34,7 +78,10 @@
 // Encode returns the plan as JSON.
 func (p Plan) Encode() (string, error) {
 	b, err := json.Marshal(p)
-	return string(b), err
+	if err != nil {
+		return "", fmt.Errorf("encode plan: %w", err)
+	}
+	return string(b), nil
 }
 
 // Digest identifies the base version, the intent and the plan together.
