--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -141,6 +141,7 @@
 	n.goDo(func() { n.announceSelf(ctx) })
 	n.goDo(func() { n.followPeers(ctx) })
 	n.goDo(func() { n.refreshSelf(ctx) })
+	n.goDo(func() { n.followDrain(ctx) })
 	if err := n.lifecycle.Event(ctx, eventServe); err != nil {
 		return fmt.Errorf("node: %w", err)
 	}
