Check callers' requests and forward them with proven outcomes

Cause: the ingress passed any header on, reported each lost request the same way, and left resends to http.Transport.

Change: header checks with problem documents, body limits, a prefix buffer and Expect: 100-continue for larger bodies, outcomes by what was sent, trailers, aborts of truncated answers, echo checks, tokens, isolated requests, hedging, decisions kept for explanations, metrics, and routing by expected cost with a circuit breaker and subsets. Idempotency-Key is sent under a map key that http.Transport does not take as permission to resend, and GET, HEAD and OPTIONS carry an empty body that it can't rewind. Connections count begun writes, which proves that nothing of a failed request was sent.

Conclusion: the ingress tests fail with each planted fault: a canonical key (resends of PUT, DELETE, POST), no body on GET, HEAD, OPTIONS (resends), a truncated answer that is not aborted, no echo check, answers without framing, retried POSTs, a consumed body sent again, an uncounted body, a token sent to another incarnation, a lost token reported as not run, an ignored isolation.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -7,15 +7,15 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
 	"github.com/mulberrytray/mulberrytray/pkg/intent"
 	"github.com/mulberrytray/mulberrytray/pkg/outcome"
+	"github.com/mulberrytray/mulberrytray/pkg/retry"
 	"github.com/mulberrytray/mulberrytray/pkg/routing"
-	"github.com/mulberrytray/mulberrytray/pkg/stream"
 )
 
 // Directory tells which upstreams serve a service. It is safe for concurrent use.
@@ -28,111 +28,178 @@
 	Intent() *intent.Intent
 }
 
-// Config holds the settings of an Ingress.
+// Members finds the node that a token or a quarantine names, whatever the state
+// of its upstream. It is safe for concurrent use.
+type Members interface {
+	Member(nodeID string) (*pb.Member, bool)
+}
+
+// TokenResolver reads the owner of a token. It is safe for concurrent use.
+type TokenResolver interface {
+	// Parse reports false for keys that are not tokens.
+	Parse(key string) (nodeID string, incarnation uint64, ok bool)
+}
+
+// TokenIssuer asks the sidecar of an upstream for a token. It is safe for
+// concurrent use.
+type TokenIssuer interface {
+	Issue(ctx context.Context, address string, incarnation uint64, service string) (token string, expiresIn time.Duration, err error)
+}
+
+// Config holds the settings and optional parts of an Ingress.
 type Config struct {
 	// DefaultTimeout applies to requests without a timeout of their own. Default 10 s.
 	DefaultTimeout time.Duration
 	// MaxTimeout is the longest accepted timeout. Default 300 s.
 	MaxTimeout time.Duration
+	// NodeID and FailureDomain of this node.
+	NodeID, FailureDomain string
+	// Members is needed for tokens and quarantined requests. May be nil.
+	Members Members
+	// Tokens and Issuer are nil if tokens are not supported.
+	Tokens TokenResolver
+	Issuer TokenIssuer
+	// RequireEcho refuses answers that don't repeat the request id and attempt.
+	// Answers that repeat wrong ones are always refused.
+	RequireEcho bool
+	// Registry takes the metrics. Default: a new one.
+	Registry metrics.Registry
 }
 
+const (
+	defaultTimeout = 10 * time.Second
+	longestTimeout = maxTimeoutMs * time.Millisecond
+)
+
 // Ingress is the http.Handler for callers. It is safe for concurrent use.
 type Ingress struct {
 	cfg       Config
 	directory Directory
 	intents   Intents
 	picker    *routing.Picker
-	peers     http.RoundTripper
+	budget    *retry.Budget
+	peers     *http.Transport
+	latencies *latencies
+	journal   *journal
+	metrics   *meters
 }
 
-// New returns an ingress that forwards through the round tripper.
-func New(cfg Config, d Directory, i Intents, peers http.RoundTripper) *Ingress {
-	return &Ingress{cfg: cfg, directory: d, intents: i, picker: routing.NewPicker(), peers: peers}
+// New returns an ingress that forwards through the transport, which should come
+// from NewTransport: with another one, a failed request counts as possibly run
+// unless no connection was made.
+func New(cfg Config, d Directory, i Intents, peers *http.Transport) *Ingress {
+	if cfg.DefaultTimeout == 0 {
+		cfg.DefaultTimeout = defaultTimeout
+	}
+	if cfg.MaxTimeout == 0 {
+		cfg.MaxTimeout = longestTimeout
+	}
+	if cfg.Registry == nil {
+		cfg.Registry = metrics.NewRegistry()
+	}
+	g := &Ingress{
+		cfg: cfg, directory: d, intents: i, peers: peers, budget: retry.NewBudget(),
+		latencies: newLatencies(), journal: newJournal(), metrics: newMeters(cfg.Registry),
+	}
+	g.picker = routing.NewPicker(routing.Config{
+		NodeID: cfg.NodeID, FailureDomain: cfg.FailureDomain, DomainDelay: g.domainDelay,
+	})
+	return g
 }
 
-// maxAttempts bounds the sidecars that are asked for one request.
-const maxAttempts = 3
+// Picker returns the picker, for load probes.
+func (g *Ingress) Picker() *routing.Picker { return g.picker }
+
+// Budget returns the counts of the retry budget.
+func (g *Ingress) Budget() retry.Stats { return g.budget.Stats() }
+
+func (g *Ingress) domainDelay() time.Duration {
+	in := g.intents.Intent()
+	if in == nil {
+		return 0
+	}
+	return time.Duration(in.Network.DomainOneWayMs * float64(time.Millisecond))
+}
 
 // ServeHTTP handles one request of a caller.
 func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get(outcome.HeaderRequestID)
-	if id == "" {
-		id = uuid.NewString()
-		r.Header.Set(outcome.HeaderRequestID, id)
-	}
+	start := time.Now()
+	id, p := requestID(r)
 	w.Header().Set(outcome.HeaderRequestID, id)
-	if p := g.serve(w, r); p != nil {
+	if p == nil {
+		p = checkProtocol(r)
+	}
+	x := &exchange{call: &call{id: id}, r: r, start: start}
+	if p == nil {
+		p = g.serve(w, x)
+	}
+	if p != nil {
 		p.RequestID = id
+		g.note(x, "answer", "", p.Error())
 		p.Write(w)
 	}
+	g.metrics.finish(x, p)
 }
 
-func (g *Ingress) serve(w http.ResponseWriter, r *http.Request) *outcome.Problem {
+func (g *Ingress) serve(w http.ResponseWriter, x *exchange) *outcome.Problem {
 	in := g.intents.Intent()
 	if in == nil {
 		return outcome.New(http.StatusServiceUnavailable, outcome.ReasonNoConfiguration, outcome.NotRun, "no intent is in force").WithRetryAfter(time.Second)
 	}
-	service := r.Header.Get(outcome.HeaderService)
-	if service == "" {
-		service, _, _ = strings.Cut(r.Host, ".")
-	}
-	if _, ok := in.Service(service); !ok {
-		return outcome.New(http.StatusNotFound, outcome.ReasonUnknownService, outcome.NotRun, "unknown service "+strconv.Quote(service)).WithField(outcome.HeaderService)
+	if x.r.URL.Path == tokenPath {
+		return g.serveToken(w, x, in)
 	}
-	rank := r.Header.Get(outcome.HeaderRank)
-	if _, ok := in.Rank(rank); !ok {
-		return outcome.New(http.StatusBadRequest, outcome.ReasonUnknownRank, outcome.NotRun, "unknown rank "+strconv.Quote(rank)).WithField(outcome.HeaderRank)
+	c, p := checkCall(x.r, x.call.id, in, g.cfg.DefaultTimeout)
+	if p != nil {
+		return p
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), g.cfg.DefaultTimeout)
+	x.call = c
+	x.deadline = x.start.Add(min(c.timeout, g.cfg.MaxTimeout))
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
-	return g.route(ctx, w, r, service)
+	if p := g.readStart(w, x); p != nil {
+		return p
+	}
+	node, incarnation, token := g.token(c.key)
+	if c.service.RequireToken && !token && needsToken(x.r.Method) {
+		return refuse(http.StatusPreconditionRequired, outcome.ReasonTokenRequired, outcome.HeaderIdempotencyKey, "the service requires a token for POST and PATCH")
+	}
+	if c.attempt == 0 {
+		g.budget.Send()
+	}
+	var a *answer
+	if token {
+		a = g.routeToken(ctx, x, node, incarnation)
+	} else {
+		a = g.route(ctx, x)
+	}
+	if a.problem != nil {
+		return a.problem
+	}
+	g.deliver(w, x, a)
+	return nil
 }
 
-func (g *Ingress) route(ctx context.Context, w http.ResponseWriter, r *http.Request, service string) *outcome.Problem {
-	tried := map[string]bool{}
-	var last *outcome.Problem
-	for range maxAttempts {
-		c, ok := g.picker.Pick(g.directory.Candidates(service), tried)
-		if !ok {
-			break
-		}
-		tried[c.NodeID] = true
-		var again bool
-		again, last = g.attempt(ctx, w, r, c)
-		if last == nil || !again {
-			return last
-		}
-	}
-	if last == nil {
-		last = outcome.New(http.StatusServiceUnavailable, outcome.ReasonNoUpstream, outcome.NotRun, "no upstream is ready").WithRetryAfter(time.Second)
-	}
-	return last
-}
+// readDeadlineSlack keeps the read deadline behind the request's deadline, so
+// that the latter is what ends a late request.
+const readDeadlineSlack = 100 * time.Millisecond
 
-// attempt forwards the request to one sidecar. It reports whether another one may be asked.
-func (g *Ingress) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, c routing.Candidate) (bool, *outcome.Problem) {
-	defer g.picker.Done(c.NodeID)
-	out := r.Clone(ctx)
-	out.RequestURI = ""
-	out.URL.Scheme, out.URL.Host = "http", c.PeerAddress
-	out.Header.Set(outcome.HeaderTargetIncarnation, strconv.FormatUint(c.Incarnation, 10))
-	resp, err := g.peers.RoundTrip(out)
-	if err != nil {
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			return false, outcome.New(http.StatusGatewayTimeout, outcome.ReasonDeadline, outcome.Unknown, "the deadline passed")
-		}
-		return false, outcome.New(http.StatusBadGateway, outcome.ReasonNodeUnreachable, outcome.Unknown, err.Error())
-	}
-	defer resp.Body.Close()
-	if outcome.Outcome(resp.Header.Get(outcome.HeaderOutcome)) == outcome.NotRun {
-		reason := outcome.Reason(resp.Header.Get(outcome.HeaderReason))
-		return true, outcome.New(resp.StatusCode, reason, outcome.NotRun, "refused by "+c.NodeID)
-	}
-	stream.CopyHeader(w.Header(), resp.Header)
-	w.Header().Set(outcome.HeaderServedBy, c.NodeID)
-	w.WriteHeader(resp.StatusCode)
-	if err := stream.CopyBody(w, resp.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	return false, nil
+// readStart reads the start of the body.
+func (g *Ingress) readStart(w http.ResponseWriter, x *exchange) *outcome.Problem {
+	// Not every ResponseWriter has read deadlines; without one the server's apply.
+	_ = http.NewResponseController(w).SetReadDeadline(x.deadline.Add(readDeadlineSlack))
+	began := time.Now()
+	b, err := readPrefix(x.r, x.call.service.MaxBodyBytes)
+	x.outside += time.Since(began)
+	switch {
+	case errors.Is(err, errBodyLimit):
+		return tooLarge(x.call.service.MaxBodyBytes, outcome.NotRun)
+	case err != nil && !time.Now().Before(x.deadline):
+		return refuse(http.StatusRequestTimeout, outcome.ReasonDeadline, "body", "the body did not come before the deadline")
+	case err != nil:
+		return badRequest("body", "the body broke off")
+	}
+	x.body = b
+	x.fingerprint = strconv.FormatUint(fingerprint(x.r, x.call.service.Name, b), 16)
+	return nil
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -95,8 +95,7 @@
 		NodeId: s.NodeID, Incarnation: n.incarnation, PeerAddress: s.PeerAddress, AdminAddress: s.AdminAddress,
 		Region: s.Region, FailureDomain: s.FailureDomain,
 	}, n.peers, n.events)
-	n.ingress = ingress.New(ingress.Config{DefaultTimeout: s.DefaultTimeout, MaxTimeout: 300 * time.Second},
-		n, n, &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true})
+	n.ingress = n.newIngress()
 	return n, nil
 }
 
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -42,6 +42,8 @@
 	HeaderAttempt           = "Mulberrytray-Attempt"
 	HeaderLoad              = "Mulberrytray-Load"
 	HeaderReason            = "Mulberrytray-Reason"
+	// HeaderIsolate names the only node that may run a quarantined request.
+	HeaderIsolate = "Mulberrytray-Isolate"
 )
 
 // Values of HeaderQueue.
--- /dev/null
+++ b/pkg/routing/candidate.go
@@ -0,0 +1,69 @@
+// Package routing chooses the upstream for a request from knowledge that is
+// always out of date.
+package routing
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Candidate is an upstream that may be chosen.
+type Candidate struct {
+	NodeID        string
+	Incarnation   uint64
+	PeerAddress   string
+	FailureDomain string
+	Slots         int
+	Warming       bool
+}
+
+// subsetSize is the most upstreams of one service that one ingress uses while
+// they are available. It bounds connections and the spread of its load knowledge.
+const subsetSize = 16
+
+// Subset returns at most 16 of the candidates, always the same ones for the same
+// ingress, service and candidates, spread evenly over failure domains. A change
+// of one candidate changes few members of the subset (rendezvous hashing).
+func Subset(ingress, service string, candidates []Candidate) []Candidate {
+	if len(candidates) <= subsetSize {
+		return candidates
+	}
+	domains := map[string][]Candidate{}
+	for _, c := range candidates {
+		domains[c.FailureDomain] = append(domains[c.FailureDomain], c)
+	}
+	names := make([]string, 0, len(domains))
+	for name, members := range domains {
+		names = append(names, name)
+		slices.SortFunc(members, func(a, b Candidate) int { return compareScore(ingress, service, a, b) })
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return compareScore(ingress, service, Candidate{NodeID: a}, Candidate{NodeID: b})
+	})
+	out := make([]Candidate, 0, subsetSize)
+	for i := 0; len(out) < subsetSize; i++ {
+		for _, name := range names {
+			if i < len(domains[name]) && len(out) < subsetSize {
+				out = append(out, domains[name][i])
+			}
+		}
+	}
+	return out
+}
+
+func compareScore(ingress, service string, a, b Candidate) int {
+	x, y := score(ingress, service, a.NodeID), score(ingress, service, b.NodeID)
+	switch {
+	case x > y:
+		return -1
+	case x < y:
+		return 1
+	}
+	return strings.Compare(a.NodeID, b.NodeID)
+}
+
+func score(parts ...string) uint64 {
+	return xxhash.Sum64String(strings.Join(parts, "\x00"))
+}
--- /dev/null
+++ b/pkg/routing/explain.go
@@ -0,0 +1,69 @@
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+)
+
+// Service returns the service for which the upstream was last used, or "".
+func (p *Picker) Service(nodeID string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u := p.upstreams[nodeID]; u != nil {
+		return u.service
+	}
+	return ""
+}
+
+// Report returns the last load that the upstream reported, or nil.
+func (p *Picker) Report(nodeID string) *pb.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u := p.upstreams[nodeID]; u != nil {
+		return u.report
+	}
+	return nil
+}
+
+// Explain says what speaks for and against an upstream among the candidates.
+func (p *Picker) Explain(service, nodeID string, candidates []Candidate) ([]string, *pb.Load) {
+	subset := Subset(p.cfg.NodeID, service, candidates)
+	is := func(c Candidate) bool { return c.NodeID == nodeID }
+	at := slices.IndexFunc(candidates, is)
+	if at < 0 {
+		return []string{"not a candidate: unknown, lapsed, draining or not alive"}, p.Report(nodeID)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, c := p.now(), candidates[at]
+	u := p.state(now, c)
+	var reasons []string
+	if !slices.ContainsFunc(subset, is) {
+		reasons = append(reasons, fmt.Sprintf("outside the subset of %d upstreams that this ingress uses", len(subset)))
+	}
+	if u.breaker.open() {
+		left := max(0, u.breaker.openUntil-now).Round(time.Millisecond)
+		reasons = append(reasons, fmt.Sprintf("ejected by the circuit breaker after %d failures; next trial in %v", u.breaker.consecutive, left))
+	}
+	if f := u.ramp(now, c); f > 1 {
+		reasons = append(reasons, fmt.Sprintf("cold: its cost counts %.1f times", f))
+	}
+	reasons = append(reasons, p.compare(now, service, c, subset))
+	return reasons, u.report
+}
+
+func (p *Picker) compare(now time.Duration, service string, c Candidate, subset []Candidate) string {
+	own := p.state(now, c).cost(now, c, p.prior(service, c))
+	cheaper := 0
+	for _, other := range subset {
+		if other.NodeID != c.NodeID && p.state(now, other).cost(now, other, p.prior(service, other)) < own {
+			cheaper++
+		}
+	}
+	u := p.state(now, c)
+	return fmt.Sprintf("cost %v with %d own requests in flight, latency %v, failure share %.2f; %d of %d upstreams cost less",
+		own.Round(time.Microsecond), u.inFlight, u.latency.Round(time.Microsecond), u.failures, cheaper, len(subset))
+}
