--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -67,3 +67,39 @@
 func score(parts ...string) uint64 {
 	return xxhash.Sum64String(strings.Join(parts, "\x00"))
 }
+
+// subsets remembers the subset of each service until its candidates change. It
+// is not safe for concurrent use.
+type subsets map[string]*subsetEntry
+
+type subsetEntry struct {
+	key     uint64
+	members map[string]bool
+}
+
+// of returns the subset, with the candidates' present data.
+func (s subsets) of(ingress, service string, candidates []Candidate) []Candidate {
+	if len(candidates) <= subsetSize {
+		return candidates
+	}
+	key := uint64(len(candidates))
+	for _, c := range candidates {
+		// A sum does not depend on the order of the candidates.
+		key += xxhash.Sum64String(c.NodeID) ^ xxhash.Sum64String(c.FailureDomain)
+	}
+	e := s[service]
+	if e == nil || e.key != key {
+		e = &subsetEntry{key: key, members: make(map[string]bool, subsetSize)}
+		for _, c := range Subset(ingress, service, candidates) {
+			e.members[c.NodeID] = true
+		}
+		s[service] = e
+	}
+	out := make([]Candidate, 0, subsetSize)
+	for _, c := range candidates {
+		if e.members[c.NodeID] {
+			out = append(out, c)
+		}
+	}
+	return out
+}
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -38,6 +38,7 @@
 
 	mu        sync.Mutex
 	upstreams map[string]*upstream
+	subsets   subsets
 	// usual is the moving average of the latency of each service.
 	usual     map[string]time.Duration
 	lastSweep time.Duration
@@ -48,7 +49,7 @@
 func NewPicker(cfg Config) *Picker {
 	return &Picker{
 		cfg: cfg, epoch: time.Now(), upstreams: map[string]*upstream{},
-		usual: map[string]time.Duration{}, seen: map[string]time.Duration{},
+		subsets: subsets{}, usual: map[string]time.Duration{}, seen: map[string]time.Duration{},
 	}
 }
 
@@ -80,9 +81,9 @@
 
 // Pick chooses an upstream and counts the request in.
 func (p *Picker) Pick(q Query) (*Send, bool) {
-	subset := Subset(p.cfg.NodeID, q.Service, q.Candidates)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	subset := p.subsets.of(p.cfg.NodeID, q.Service, q.Candidates)
 	now := p.now()
 	usable := p.usable(now, q, subset)
 	if len(usable) == 0 && len(subset) < len(q.Candidates) {
