--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -110,8 +110,7 @@
 	}, n.peers, n.events)
 	n.newer = make(chan string, 1)
 	n.agent.OnUpdate(n.noteVersion)
-	n.ingress = ingress.New(ingress.Config{DefaultTimeout: s.DefaultTimeout, MaxTimeout: 300 * time.Second},
-		n, n, &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true})
+	n.ingress = n.newIngress()
 	return n, nil
 }
 
@@ -126,11 +125,11 @@
 		OnSync: n.handleSync, OnSnapshot: n.handleSnapshot,
 		OnQuarantine: n.handleQuarantine, OnIssueToken: n.handleIssueToken, OnProbeLoad: n.handleProbe,
 	}).Mount(peerMux)
-	peerMux.Handle("/", n.tokens.Wrap(n.sidecar))
+	peerMux.Handle("/", n.sidecar.Label(n.tokens.Wrap(n.sidecar)))
 	localMux := http.NewServeMux()
 	localMux.HandleFunc("/v1/announce", n.sidecar.ServeAnnounce)
 	adminMux := http.NewServeMux()
-	operator.New(n.keeper, n).Mount(adminMux)
+	operator.New(n.keeper, n, operator.WithExplainer(n.ingress)).Mount(adminMux)
 	adminMux.Handle("GET /metrics", telemetry.Handler(n.registry))
 	for _, l := range []struct {
 		address string
@@ -148,6 +147,7 @@
 	n.goDo(func() { n.keeper.Run(ctx, n.pollInterval) })
 	n.goDo(func() { n.agent.Run(ctx) })
 	n.goDo(func() { n.announceSelf(ctx) })
+	n.goDo(func() { n.reconcileMembers(ctx) })
 	n.goDo(func() { n.followPeers(ctx) })
 	n.goDo(func() { n.refreshSelf(ctx) })
 	n.goDo(func() { n.gossipQuarantine(ctx) })
