Keep "unknown" after a refused retry and stop listeners without resets

Change: the first unknown outcome is kept. A stopping node waits until its upstream is idle, asks clients to close connections for 1.5 s, then makes the kernel ignore new connections, accepts those that are complete, and shuts down. Listeners have limits for connections and idle time. The checker now counts a refused connection as not run (nothing was sent), and a whole token-lost answer without execution as a refusal; both were in the trace.

--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -41,6 +41,19 @@
 		},
 		{"refused is not cut", &History{Sends: []Send{ok, refused}}, (*History).NothingCut, 0},
 		{"cut answer", &History{Sends: []Send{{Status: 200, Outcome: outcome.Run}}}, (*History).NothingCut, 1},
+		{
+			"token of a node that is gone",
+			&History{Sends: []Send{{RequestID: "r", Status: 410, Reason: outcome.ReasonTokenLost, Outcome: outcome.Unknown, Complete: true}}},
+			(*History).NothingCut, 0,
+		},
+		{
+			"token lost after the execution",
+			&History{
+				Sends:      []Send{{RequestID: "r", Status: 410, Reason: outcome.ReasonTokenLost, Outcome: outcome.Unknown, Complete: true}},
+				Executions: []Execution{exec("r", "u", t0)},
+			},
+			(*History).NothingCut, 1,
+		},
 		{"unknown outcome", &History{Sends: []Send{{Status: 502, Outcome: outcome.Unknown, Complete: true}}}, (*History).NothingCut, 1},
 		{
 			"work within the bound",
--- a/internal/prove/caller.go
+++ b/internal/prove/caller.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -142,6 +143,10 @@
 	resp, err := c.client.Do(req)
 	if err != nil {
 		s.Err = err.Error()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			// Nobody listens there, so nothing was sent.
+			s.Outcome = outcome.NotRun
+		}
 		return
 	}
 	defer resp.Body.Close()
--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -319,3 +319,21 @@
 		t.Error("the attempt was not cancelled")
 	}
 }
+
+// Guards against "not run" after an earlier attempt that may have run: a refusal
+// of the retry says nothing about the first send.
+func TestRefusedRetryKeepsUnknown(t *testing.T) {
+	var sends atomic.Int32
+	first := func(w http.ResponseWriter, _ *http.Request) {
+		if sends.Add(1) == 1 {
+			outcome.New(http.StatusBadGateway, outcome.ReasonUpstreamCrashed, outcome.Unknown, "crashed").Write(w)
+			return
+		}
+		refusing(outcome.ReasonLeaseLapsed)(w, nil)
+	}
+	f := newFixture(t, first, first)
+	f.expect(f.do("GET", "/", ""), http.StatusBadGateway, outcome.ReasonUpstreamCrashed, outcome.Unknown)
+	if sends.Load() != 2 {
+		t.Errorf("%d sends, want a retry after the first", sends.Load())
+	}
+}
--- a/pkg/ingress/route.go
+++ b/pkg/ingress/route.go
@@ -30,11 +30,23 @@
 	refusals int
 	reroutes int
 	last     *outcome.Problem
+	// unknown is the first problem after which the request may have been run.
+	unknown *outcome.Problem
 }
 
 // route sends the request until an upstream answers or nothing more is allowed.
+// A refusal of the last attempt proves nothing about earlier ones: if one of them
+// may have run, that is what the caller is told.
 func (g *Ingress) route(ctx context.Context, x *exchange) *answer {
 	rt := &route{tried: map[string]bool{}, busy: map[string]bool{}}
+	a := g.routeAttempts(ctx, x, rt)
+	if a.problem != nil && a.problem.Outcome == outcome.NotRun && rt.unknown != nil {
+		a.problem = rt.unknown
+	}
+	return a
+}
+
+func (g *Ingress) routeAttempts(ctx context.Context, x *exchange, rt *route) *answer {
 	for {
 		s, queue, ok := g.pick(x, rt, "")
 		if !ok {
@@ -98,6 +110,9 @@
 // again decides whether the request may be sent once more after a problem.
 func (g *Ingress) again(ctx context.Context, x *exchange, rt *route, a *answer) bool {
 	rt.last = a.problem
+	if rt.unknown == nil && a.problem.Outcome == outcome.Unknown {
+		rt.unknown = a.problem
+	}
 	id := a.send.Candidate.NodeID
 	g.note(x, "problem", id, string(a.problem.Outcome)+", "+a.problem.Error())
 	if ctx.Err() != nil {
--- /dev/null
+++ b/pkg/node/listen.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"github.com/mulberrytray/mulberrytray/pkg/event"
+)
+
+// Limits of each listener.
+const (
+	maxHeaderBytes    = 16 << 10
+	maxConnections    = 4096
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// stopLinger is how long a stopping node still answers, so that callers with open
+// connections see that they close, and other nodes hear that it leaves.
+const stopLinger = 1500 * time.Millisecond
+
+// acceptDrain is the time to accept the connections that were already complete
+// when a listener stops taking new ones.
+const acceptDrain = 20 * time.Millisecond
+
+// servers are the four listeners of a node.
+type servers struct {
+	caller, peer, local, admin *server
+}
+
+func (s *servers) all() []*server {
+	return []*server{s.caller, s.local, s.peer, s.admin}
+}
+
+// server is an HTTP server with the TCP listener it serves.
+type server struct {
+	*http.Server
+	listener *net.TCPListener
+}
+
+// stop refuses new connections, accepts those that are complete, and waits for
+// the requests in flight. Closing the listener at once would reset connections
+// that wait to be accepted, and requests on them.
+func (s *server) stop(ctx context.Context) error {
+	if err := refuseConnections(s.listener); err == nil {
+		time.Sleep(acceptDrain)
+	}
+	return s.Shutdown(ctx)
+}
+
+func (n *Node) listenAll(peer, local, admin, caller http.Handler) error {
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+		server  **server
+	}{
+		{n.settings.PeerAddress, peer, &n.servers.peer},
+		{n.settings.LocalAddress, local, &n.servers.local},
+		{n.settings.AdminAddress, admin, &n.servers.admin},
+		{n.settings.CallerAddress, caller, &n.servers.caller},
+	} {
+		var err error
+		if *l.server, err = n.listen(l.address, n.closing(l.handler)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) listen(address string, h http.Handler) (*server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("node: %w", err)
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	srv := &http.Server{
+		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, Protocols: protocols,
+	}
+	limited := netutil.LimitListener(l, maxConnections)
+	n.goDo(func() {
+		if err := srv.Serve(limited); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			n.events.Emit(event.NodeFailed, event.Fields{"error": err.Error()})
+		}
+	})
+	return &server{Server: srv, listener: l.(*net.TCPListener)}, nil
+}
+
+// closing asks clients to close their connections once the node is stopping. A
+// server that closes idle connections itself may cut a request that is on its way.
+func (n *Node) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) closeServers() {
+	for _, s := range n.servers.all() {
+		if s != nil {
+			_ = s.Close()
+		}
+	}
+}
+
+// Stop refuses new work, waits for the requests in flight, and ends all duties.
+// The caller listener stays open until the upstream is idle, since the upstream's
+// own calls to other services go through it.
+func (n *Node) Stop(ctx context.Context) error {
+	if err := n.lifecycle.Event(ctx, eventDrain); err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	n.events.Emit(event.NodeDraining, nil)
+	n.draining.Store(true)
+	n.sidecar.SetDrain(true)
+	lingered := time.After(stopLinger)
+	errs := []error{n.sidecar.WaitIdle(ctx)}
+	n.agent.Leave(ctx)
+	select {
+	case <-lingered:
+	case <-ctx.Done():
+	}
+	for _, s := range n.servers.all() {
+		errs = append(errs, s.stop(ctx))
+	}
+	n.guard.Wait()
+	n.cancel()
+	n.wg.Wait()
+	if err := n.lifecycle.Event(ctx, eventStop); err != nil {
+		errs = append(errs, err)
+	}
+	n.events.Emit(event.NodeStopped, nil)
+	return errors.Join(errs...)
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -3,12 +3,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/looplab/fsm"
@@ -67,9 +66,10 @@
 	// newer takes the address of a peer that shows a newer configuration.
 	newer chan string
 
-	servers []*http.Server
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	servers  servers
+	draining atomic.Bool
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
 }
 
 // New provisions a node from valid settings.
@@ -131,18 +131,10 @@
 	adminMux := http.NewServeMux()
 	operator.New(n.keeper, n, operator.WithExplainer(n.ingress)).Mount(adminMux)
 	adminMux.Handle("GET /metrics", telemetry.Handler(n.registry))
-	for _, l := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{n.settings.PeerAddress, peerMux}, {n.settings.LocalAddress, localMux},
-		{n.settings.AdminAddress, adminMux}, {n.settings.CallerAddress, n.ingress},
-	} {
-		if err := n.listen(l.address, l.handler); err != nil {
-			n.closeServers()
-			cancel()
-			return err
-		}
+	if err := n.listenAll(peerMux, localMux, adminMux, n.ingress); err != nil {
+		n.closeServers()
+		cancel()
+		return err
 	}
 	n.goDo(func() { n.keeper.Run(ctx, n.pollInterval) })
 	n.goDo(func() { n.agent.Run(ctx) })
@@ -167,56 +159,6 @@
 	}()
 }
 
-// maxHeaderBytes bounds the header of a request.
-const maxHeaderBytes = 16 << 10
-
-func (n *Node) listen(address string, h http.Handler) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return fmt.Errorf("node: %w", err)
-	}
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	srv := &http.Server{Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: 5 * time.Second, Protocols: protocols}
-	n.servers = append(n.servers, srv)
-	n.goDo(func() {
-		if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			n.events.Emit(event.NodeFailed, event.Fields{"error": err.Error()})
-		}
-	})
-	return nil
-}
-
-func (n *Node) closeServers() {
-	for _, s := range n.servers {
-		_ = s.Close()
-	}
-}
-
-// Stop refuses new work, waits for the requests in flight, and ends all duties.
-func (n *Node) Stop(ctx context.Context) error {
-	if err := n.lifecycle.Event(ctx, eventDrain); err != nil {
-		return fmt.Errorf("node: %w", err)
-	}
-	n.events.Emit(event.NodeDraining, nil)
-	n.sidecar.SetDrain(true)
-	var errs []error
-	for i := len(n.servers) - 1; i >= 0; i-- {
-		if i == 0 { // the peer listener, which answers probes
-			n.agent.Leave(ctx)
-		}
-		errs = append(errs, n.servers[i].Shutdown(ctx))
-	}
-	n.cancel()
-	n.wg.Wait()
-	if err := n.lifecycle.Event(ctx, eventStop); err != nil {
-		errs = append(errs, err)
-	}
-	n.events.Emit(event.NodeStopped, nil)
-	return errors.Join(errs...)
-}
-
 // Candidates implements ingress.Directory.
 func (n *Node) Candidates(service string) []routing.Candidate {
 	var out []routing.Candidate
