Serve the connections that wait when a listener closes

Change: a listener that accepts what waits before it closes, closed before Shutdown. Process logs of the fleet are appended to, and sends note whether their connection was reused.

--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -32,6 +32,9 @@
 	}
 }
 
+// logMode of the log files.
+const logMode = 0o644
+
 // Launcher starts processes from a directory of binaries and writes their
 // output to a directory of log files.
 type Launcher struct {
@@ -43,7 +46,7 @@
 
 // Start starts a program.
 func (l *Launcher) Start(name, program string, args ...string) (*Process, error) {
-	out, err := os.Create(filepath.Join(l.LogDir, name+".log"))
+	out, err := os.OpenFile(filepath.Join(l.LogDir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, logMode)
 	if err != nil {
 		return nil, fmt.Errorf("start %s: %w", name, err)
 	}
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -183,7 +183,7 @@
 	for _, s := range h.Sends {
 		tokenGone := s.Complete && s.Reason == outcome.ReasonTokenLost && !executed[s.RequestID]
 		if !s.Success() && s.Outcome != outcome.NotRun && !tokenGone {
-			out = append(out, Violation{"cut", fmt.Sprintf("request %s: status %d, outcome %q, reason %q, error %s", s.RequestID, s.Status, s.Outcome, s.Reason, s.Err)})
+			out = append(out, Violation{"cut", fmt.Sprintf("request %s, ended %s: status %d, outcome %q, reason %q, error %s", s.RequestID, s.End.Format("15:04:05.000"), s.Status, s.Outcome, s.Reason, s.Err)})
 		}
 	}
 	return out
--- a/internal/prove/caller.go
+++ b/internal/prove/caller.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"syscall"
 	"time"
 
@@ -119,6 +120,8 @@
 func (c *caller) exchange(op *operation, s *history.Send) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
+	var conn httptrace.GotConnInfo
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { conn = i }})
 	req, err := http.NewRequestWithContext(ctx, op.method, c.entry()+op.path(), bytes.NewReader(op.body))
 	if err != nil {
 		s.Err = err.Error()
@@ -142,7 +145,7 @@
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		s.Err = err.Error()
+		s.Err = fmt.Sprintf("%v (connection reused %v, idle %v)", err, conn.Reused, conn.IdleTime)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			// Nobody listens there, so nothing was sent.
 			s.Outcome = outcome.NotRun
--- /dev/null
+++ b/pkg/node/drainlistener_test.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// Guards against a stop that resets connections which are complete but not yet
+// accepted, together with the requests on them.
+func TestCloseServesQueuedConnections(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const queued = 20
+	var conns []net.Conn
+	for range queued {
+		c, err := net.Dial("tcp", tcp.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	l := newDrainListener(tcp.(*net.TCPListener))
+	srv := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	go func() { _ = l.Close() }()
+	for !l.closing.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	if err := srv.Serve(l); !errors.Is(err, net.ErrClosed) && !isTimeout(err) {
+		t.Errorf("serve ended with %v", err)
+	}
+	for i, c := range conns {
+		if answer, err := io.ReadAll(c); err != nil || len(answer) == 0 {
+			t.Errorf("connection %d: %d bytes, %v", i, len(answer), err)
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
+}
--- a/pkg/node/listen.go
+++ b/pkg/node/listen.go
@@ -25,10 +25,6 @@
 // connections see that they close, and other nodes hear that it leaves.
 const stopLinger = 1500 * time.Millisecond
 
-// acceptDrain is the time to accept the connections that were already complete
-// when a listener stops taking new ones.
-const acceptDrain = 20 * time.Millisecond
-
 // servers are the four listeners of a node.
 type servers struct {
 	caller, peer, local, admin *server
@@ -38,20 +34,16 @@
 	return []*server{s.caller, s.local, s.peer, s.admin}
 }
 
-// server is an HTTP server with the TCP listener it serves.
+// server is an HTTP server with its listener.
 type server struct {
 	*http.Server
-	listener *net.TCPListener
+	listener *drainListener
 }
 
-// stop refuses new connections, accepts those that are complete, and waits for
-// the requests in flight. Closing the listener at once would reset connections
-// that wait to be accepted, and requests on them.
+// stop takes the connections that wait, and then the requests in flight, to their
+// end. The listener closes first: Shutdown holds a lock that accepting needs.
 func (s *server) stop(ctx context.Context) error {
-	if err := refuseConnections(s.listener); err == nil {
-		time.Sleep(acceptDrain)
-	}
-	return s.Shutdown(ctx)
+	return errors.Join(s.listener.Close(), s.Shutdown(ctx))
 }
 
 func (n *Node) listenAll(peer, local, admin, caller http.Handler) error {
@@ -84,13 +76,14 @@
 	srv := &http.Server{
 		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, Protocols: protocols,
 	}
-	limited := netutil.LimitListener(l, maxConnections)
+	draining := newDrainListener(l.(*net.TCPListener))
+	limited := netutil.LimitListener(draining, maxConnections)
 	n.goDo(func() {
-		if err := srv.Serve(limited); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(limited); err != nil && !n.draining.Load() {
 			n.events.Emit(event.NodeFailed, event.Fields{"error": err.Error()})
 		}
 	})
-	return &server{Server: srv, listener: l.(*net.TCPListener)}, nil
+	return &server{Server: srv, listener: draining}, nil
 }
 
 // closing asks clients to close their connections once the node is stopping. A
