Throttle refused work at the ingress

Cause: mtload flood-least at 10 times capacity spent the machine on refusals: each one asked up to three sidecars.

Change: package throttle, client-side adaptive throttling per service, rank and caller; requests with a token are exempt. mtload scales targets with the service time and can set the slots.

--- a/cmd/mtload/main.go
+++ b/cmd/mtload/main.go
@@ -24,6 +24,7 @@
 			&cli.StringFlag{Name: "out", Value: "out/load", Usage: "directory for reports"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the arrivals"},
 			&cli.DurationFlag{Name: "duration", Value: 8 * time.Second, Usage: "length of the load for each target"},
+			&cli.IntFlag{Name: "slots", Usage: "slots of each upstream instead of the deployment's; fewer make floods lighter on this machine"},
 			&cli.DurationFlag{Name: "service-time", Value: 20 * time.Millisecond, Usage: "mean service time of the upstreams"},
 		},
 		Commands: []*cli.Command{
@@ -63,6 +64,9 @@
 	if err != nil {
 		return nil, scenario.Config{}, err
 	}
+	if n := c.Int("slots"); n > 0 {
+		d.Slots = n
+	}
 	logs := filepath.Join(c.String("out"), "logs")
 	if err := os.MkdirAll(logs, 0o755); err != nil {
 		return nil, scenario.Config{}, err
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -241,15 +241,20 @@
 // callTimeoutFactor times a rank's target is the timeout of its calls.
 const callTimeoutFactor = 4
 
+// baseServiceTime is the service time that the intents' targets are meant for. With
+// another one, the load's targets are scaled.
+const baseServiceTime = 20 * time.Millisecond
+
 func (r *Runner) classes(s Scenario) []loadgen.Class {
 	var out []loadgen.Class
 	for i, rank := range r.intent.Ranks {
 		if i >= len(s.Load) || s.Load[i] == 0 {
 			continue
 		}
+		target := time.Duration(float64(rank.Target()) * float64(r.cfg.ServiceTime) / float64(baseServiceTime))
 		out = append(out, loadgen.Class{
 			Name: rank.Name, Service: r.service, Rank: rank.Name, Method: http.MethodGet, Path: "/",
-			Rate: s.Load[i] * r.capacity(), Timeout: callTimeoutFactor * rank.Target(), Target: rank.Target(), Worth: rank.Worth,
+			Rate: s.Load[i] * r.capacity(), Timeout: callTimeoutFactor * target, Target: target, Worth: rank.Worth,
 		})
 	}
 	return out
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"github.com/mulberrytray/mulberrytray/pkg/outcome"
 	"github.com/mulberrytray/mulberrytray/pkg/retry"
 	"github.com/mulberrytray/mulberrytray/pkg/routing"
+	"github.com/mulberrytray/mulberrytray/pkg/throttle"
 )
 
 // Directory tells which upstreams serve a service. It is safe for concurrent use.
@@ -80,6 +81,7 @@
 	budget    *retry.Budget
 	peers     *http.Transport
 	latencies *latencies
+	throttle  *throttle.Throttle
 	journal   *journal
 	metrics   *meters
 }
@@ -99,7 +101,7 @@
 	}
 	g := &Ingress{
 		cfg: cfg, directory: d, intents: i, peers: peers, budget: retry.NewBudget(),
-		latencies: newLatencies(), journal: newJournal(), metrics: newMeters(cfg.Registry),
+		latencies: newLatencies(), throttle: throttle.New(), journal: newJournal(), metrics: newMeters(cfg.Registry),
 	}
 	g.picker = routing.NewPicker(routing.Config{
 		NodeID: cfg.NodeID, FailureDomain: cfg.FailureDomain, DomainDelay: g.domainDelay,
@@ -171,7 +173,7 @@
 	if token {
 		a = g.routeToken(ctx, x, node, incarnation)
 	} else {
-		a = g.route(ctx, x)
+		a = g.routeThrottled(ctx, x)
 	}
 	if a.problem != nil {
 		return a.problem
@@ -180,6 +182,29 @@
 	return nil
 }
 
+// throttleRetryAfter is the delay suggested to a throttled caller.
+const throttleRetryAfter = time.Second
+
+// routeThrottled refuses the request here if the upstreams refuse most requests
+// like it. Requests with a token are exempt: an earlier send may have run, so that
+// a refusal here could not say "not run".
+func (g *Ingress) routeThrottled(ctx context.Context, x *exchange) *answer {
+	k := throttle.Key{Service: x.service.Name, Rank: x.rank.Name, Caller: x.caller}
+	if !g.throttle.Allow(k) {
+		p := outcome.New(http.StatusServiceUnavailable, outcome.ReasonOverload, outcome.NotRun, "the upstreams refuse most requests of this rank and caller")
+		return failed(p.WithRetryAfter(throttleRetryAfter))
+	}
+	a := g.route(ctx, x)
+	if a.problem == nil || !lacksCapacity(a.problem.Reason) {
+		g.throttle.Accepted(k)
+	}
+	return a
+}
+
+func lacksCapacity(r outcome.Reason) bool {
+	return r == outcome.ReasonBusy || r == outcome.ReasonOverload || r == outcome.ReasonDeadline
+}
+
 // readDeadlineSlack keeps the read deadline behind the request's deadline, so
 // that the latter is what ends a late request.
 const readDeadlineSlack = 100 * time.Millisecond
