Refuse requests that would wait longer than a quarter of their target

Cause: in a flood of the most urgent rank the queue was as long as the deadlines allowed, so half of the answers missed the target.

Change: admission refuses a request whose predicted wait exceeds a quarter of its rank's target. mtload scales the targets in the intent, too.

--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"time"
 
+	"go.yaml.in/yaml/v3"
+
 	"github.com/mulberrytray/mulberrytray/internal/fleet"
 	"github.com/mulberrytray/mulberrytray/internal/loadgen"
 	"github.com/mulberrytray/mulberrytray/internal/standin/platformlog"
@@ -74,6 +76,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if cfg.IntentYAML, err = scaleTargets(in, cfg.ServiceTime); err != nil {
+		return nil, err
+	}
 	f, err := fleet.Start(cfg.Deployment, fleet.Options{
 		BinDir: cfg.BinDir, LogDir: cfg.LogDir,
 	})
@@ -241,20 +246,27 @@
 // callTimeoutFactor times a rank's target is the timeout of its calls.
 const callTimeoutFactor = 4
 
-// baseServiceTime is the service time that the intents' targets are meant for. With
-// another one, the load's targets are scaled.
+// baseServiceTime is the service time that the intents' targets are meant for.
 const baseServiceTime = 20 * time.Millisecond
 
+// scaleTargets adapts the targets to another service time.
+func scaleTargets(in *intent.Intent, service time.Duration) (string, error) {
+	for i := range in.Ranks {
+		in.Ranks[i].TargetMs = int(float64(in.Ranks[i].TargetMs) * float64(service) / float64(baseServiceTime))
+	}
+	text, err := yaml.Marshal(in)
+	return string(text), err
+}
+
 func (r *Runner) classes(s Scenario) []loadgen.Class {
 	var out []loadgen.Class
 	for i, rank := range r.intent.Ranks {
 		if i >= len(s.Load) || s.Load[i] == 0 {
 			continue
 		}
-		target := time.Duration(float64(rank.Target()) * float64(r.cfg.ServiceTime) / float64(baseServiceTime))
 		out = append(out, loadgen.Class{
 			Name: rank.Name, Service: r.service, Rank: rank.Name, Method: http.MethodGet, Path: "/",
-			Rate: s.Load[i] * r.capacity(), Timeout: callTimeoutFactor * target, Target: target, Worth: rank.Worth,
+			Rate: s.Load[i] * r.capacity(), Timeout: callTimeoutFactor * rank.Target(), Target: rank.Target(), Worth: rank.Worth,
 		})
 	}
 	return out
--- a/pkg/admission/controller_test.go
+++ b/pkg/admission/controller_test.go
@@ -223,3 +223,35 @@
 		}
 	})
 }
+
+// Guards against a flood of one rank whose queue makes all its answers late.
+func TestQueueIsShorterThanTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := admission.New([]intent.Rank{{Name: "urgent", Worth: 1, TargetMs: 100}})
+		c.SetSlots(1, false)
+		var waits []time.Duration
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for range 200 {
+			wg.Go(func() {
+				began := time.Now()
+				release, err := c.Acquire(t.Context(), admission.Request{Rank: "urgent", Caller: "a", Deadline: began.Add(10 * time.Second)})
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				waits = append(waits, time.Since(began))
+				mu.Unlock()
+				time.Sleep(10 * time.Millisecond)
+				release()
+			})
+			time.Sleep(time.Millisecond)
+		}
+		wg.Wait()
+		for _, w := range waits[len(waits)/2:] {
+			if w > 100*time.Millisecond {
+				t.Errorf("a request waited %v, more than the rank's target", w)
+			}
+		}
+	})
+}
--- a/pkg/admission/policy.go
+++ b/pkg/admission/policy.go
@@ -62,6 +62,9 @@
 	if !req.Deadline.IsZero() && wait+rank.typicalService() >= req.Deadline.Sub(now) {
 		return refuse(outcome.ReasonOverload, retry, "the predicted wait exceeds the deadline")
 	}
+	if limit := rank.waitLimit(); limit > 0 && wait > limit {
+		return refuse(outcome.ReasonOverload, retry, "the predicted wait exceeds the rank's target")
+	}
 	total := c.queueLimit()
 	rankLimit := int(rankQueuePart * float64(total))
 	if rank.queue.callerLen(req.Caller) >= int(callerQueuePart*float64(rankLimit)) {
--- a/pkg/admission/rank.go
+++ b/pkg/admission/rank.go
@@ -43,6 +43,16 @@
 	return time.Duration(math.Exp(r.logService) * float64(time.Second))
 }
 
+// waitPart of the target may be spent in the queue. The rest is for the service
+// time, whose longest values are several times its mean.
+const waitPart = 0.25
+
+// waitLimit is the longest useful wait: a longer queue makes most answers of the
+// rank miss its target. Zero means no limit.
+func (r *rankState) waitLimit() time.Duration {
+	return time.Duration(waitPart * float64(r.Target()))
+}
+
 func (r *rankState) observe(service time.Duration) {
 	value := math.Log(max(service, time.Microsecond).Seconds())
 	if !r.measured {
