Make plans from the fleet's measured demand and capacity

Cause: a node had no source for operator.WithCapacity, so plans listed changes but no gains and losses.

Change: admission measures the calls per second of each rank that asked for a slot, refused ones included, as a decayed count with a time constant of 10 s. Attempts with Mulberrytray-Attempt > 0 are not counted. ProbeLoadResponse carries this demand and the capacity (announced slots / service time). operator.Measure asks all ready and warming upstreams, 64 at a time within 2 s, and sums by service. A plan names the upstreams that are not included (at most 64 and the number of others, so that it fits in a record) and the services of unknown capacity, which no longer appear as served nothing. A node measures at most once a second, which caps the cost of a burst of proposals.

The golden files of existing plans gain the list of services of unknown capacity (kasse and zahlung, which the fixture has no state for); no line of them was removed.

Seen to fail against planted faults: counting repeated attempts (TestDemand, TestProbe), counting upstreams without a completed call (TestMeasure), no bound on concurrent calls (TestMeasureBounds), a limit of 6 s (TestMeasure), a fixed incarnation in the request (TestPlanFromFleet), services of unknown capacity in the scenarios (TestUnknownState).

--- a/cmd/mtctl/main.go
+++ b/cmd/mtctl/main.go
@@ -130,7 +130,8 @@
 	}
 }
 
-// callTimeout bounds one call to a node. A node itself gives the log 8 s at most.
+// callTimeout bounds one call to a node. A node itself gives the log 8 s and the
+// measurement of the fleet 2 s at most.
 const callTimeout = 12 * time.Second
 
 func client(c *cli.Command) pbconnect.OperatorServiceClient {
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -38,6 +38,8 @@
 	Deadline time.Time
 	// NoWait refuses the request as busy when no slot is free.
 	NoWait bool
+	// Repeat marks a further attempt of a call that another upstream counted.
+	Repeat bool
 }
 
 // Stats is a snapshot of a Controller.
@@ -63,12 +65,13 @@
 	waiting  int
 	seq      uint64
 	service  time.Duration
+	start    time.Time
 	draining bool
 }
 
 // New returns a controller without slots.
 func New(ranks []intent.Rank) *Controller {
-	c := &Controller{ranks: map[string]*rankState{}, usage: usage{last: time.Now()}}
+	c := &Controller{ranks: map[string]*rankState{}, usage: usage{last: time.Now()}, start: time.Now()}
 	c.SetRanks(ranks)
 	return c
 }
@@ -182,6 +185,9 @@
 	if rank == nil {
 		rank = c.ranks[otherRank]
 	}
+	if !req.Repeat {
+		rank.demand.add(now)
+	}
 	if refusal := c.check(ctx, req, now); refusal != nil {
 		return nil, refusal
 	}
--- a/pkg/admission/rank.go
+++ b/pkg/admission/rank.go
@@ -25,6 +25,7 @@
 	// logService is the EWMA of the logarithm of the service time in seconds.
 	logService float64
 	measured   bool
+	demand     rate
 }
 
 func newRankState(r intent.Rank) *rankState {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -66,6 +66,7 @@
 	ingress    *ingress.Ingress
 	// newer takes the address of a peer that shows a newer configuration.
 	newer chan string
+	meter fleetMeter
 
 	servers []*http.Server
 	cancel  context.CancelFunc
@@ -130,7 +131,7 @@
 	localMux := http.NewServeMux()
 	localMux.HandleFunc("/v1/announce", n.sidecar.ServeAnnounce)
 	adminMux := http.NewServeMux()
-	operator.New(n.keeper, n).Mount(adminMux)
+	operator.New(n.keeper, n, operator.WithCapacity(n.fleetCapacity)).Mount(adminMux)
 	adminMux.Handle("GET /metrics", telemetry.Handler(n.registry))
 	for _, l := range []struct {
 		address string
--- a/pkg/node/sidecar.go
+++ b/pkg/node/sidecar.go
@@ -139,5 +139,5 @@
 	if r.TargetIncarnation != n.incarnation {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, errOtherIncarnation)
 	}
-	return &pb.ProbeLoadResponse{Load: n.sidecar.Load()}, nil
+	return n.sidecar.Probe(), nil
 }
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -29,7 +29,7 @@
 	keeper    *configlog.Keeper
 	fleet     Fleet
 	explainer Explainer
-	capacity  func() plan.Fleet
+	capacity  func(context.Context) plan.Fleet
 }
 
 var _ pbconnect.OperatorServiceHandler = (*Service)(nil)
@@ -43,14 +43,15 @@
 }
 
 // WithCapacity sets the source of the capacity and demand that plans are made
-// from. Without it, plans list changes but no gains and losses.
-func WithCapacity(f func() plan.Fleet) Option {
+// from, which is called for each proposal. Without it, plans list changes but no
+// gains and losses.
+func WithCapacity(f func(context.Context) plan.Fleet) Option {
 	return func(s *Service) { s.capacity = f }
 }
 
 // New returns the service of one node.
 func New(k *configlog.Keeper, f Fleet, options ...Option) *Service {
-	s := &Service{keeper: k, fleet: f, capacity: func() plan.Fleet { return plan.Fleet{} }}
+	s := &Service{keeper: k, fleet: f, capacity: func(context.Context) plan.Fleet { return plan.Fleet{} }}
 	for _, o := range options {
 		o(s)
 	}
@@ -58,7 +59,8 @@
 }
 
 const (
-	// callTimeout bounds the calls to the log for one request of an operator.
+	// callTimeout bounds the read of the log, and then the append, for one request
+	// of an operator.
 	callTimeout = 4 * time.Second
 	// maxRequestBytes bounds a request; the largest one holds an intent.
 	maxRequestBytes = intent.MaxBytes + 4<<10
@@ -80,12 +82,10 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err := s.keeper.Poll(ctx); err != nil {
+	if err := s.poll(ctx); err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, fmt.Errorf("the proposal was not appended: %w", err))
 	}
-	proposal, err := s.proposal(req.Msg, in)
+	proposal, err := s.proposal(ctx, req.Msg, in)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
@@ -98,12 +98,21 @@
 	}), nil
 }
 
+// poll reads the log up to its end within callTimeout.
+func (s *Service) poll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.keeper.Poll(ctx)
+}
+
 // proposal makes the plan of an intent against the latest version.
-func (s *Service) proposal(req *pb.ProposeRequest, in *intent.Intent) (*pb.Proposal, error) {
+func (s *Service) proposal(ctx context.Context, req *pb.ProposeRequest, in *intent.Intent) (*pb.Proposal, error) {
+	fleet := s.capacity(ctx)
+	// Read after the measurement, which takes up to 2 s, so that the base is recent.
 	cur := s.keeper.Current()
 	// The state's version is ahead of the one in force if this node cannot parse it.
 	base := cur.State.Version
-	planJSON, err := plan.Make(base, cur.Intent, in, s.capacity()).Encode()
+	planJSON, err := plan.Make(base, cur.Intent, in, fleet).Encode()
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -13,14 +13,17 @@
 
 // Fleet is the present state of the fleet.
 type Fleet struct {
+	// Services may lack services that no upstream reported.
 	Services []ServiceState
+	// NotIncluded names the upstreams whose state is unknown, with the reason.
+	NotIncluded []string
 }
 
 // ServiceState is the present state of one service.
 type ServiceState struct {
 	Name string
 	// CapacityPerSecond is the number of requests that all its upstreams can
-	// execute in a second.
+	// execute in a second; 0 if unknown.
 	CapacityPerSecond float64
 	// Demand in requests per second by rank. Ranks that an intent does not have
 	// are served nothing under it.
@@ -31,6 +34,11 @@
 type Plan struct {
 	BaseVersion uint64   `json:"base_version"`
 	Changes     []string `json:"changes"`
+	// UnknownCapacity lists the services, of either intent, that the scenarios
+	// leave out because none of their upstreams has completed a call yet.
+	UnknownCapacity []string `json:"unknown_capacity,omitempty"`
+	// NotIncluded names the upstreams that are missing in the scenarios.
+	NotIncluded []string `json:"not_included,omitempty"`
 	// Scenarios are today's demand and multiples of it.
 	Scenarios []Scenario `json:"scenarios"`
 }
@@ -68,7 +76,11 @@
 	if current == nil {
 		current = &intent.Intent{}
 	}
-	p := Plan{BaseVersion: base, Changes: changes(current, proposed)}
+	p := Plan{
+		BaseVersion: base, Changes: changes(current, proposed),
+		UnknownCapacity: unknownCapacity(current, proposed, fleet), NotIncluded: shorten(fleet.NotIncluded),
+	}
+	fleet = known(fleet)
 	for _, factor := range demandFactors {
 		p.Scenarios = append(p.Scenarios, scenario(current, proposed, fleet, factor))
 	}
--- a/pkg/plan/plan_test.go
+++ b/pkg/plan/plan_test.go
@@ -1,6 +1,7 @@
 package plan_test
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -29,6 +30,20 @@
 	{Name: "buchung", CapacityPerSecond: 500, Demand: map[string]float64{"booking": 200, "report": 50}},
 }}
 
+// Guards against plans that show a service as served nothing, or more than the
+// whole fleet as measured, because nothing is known of it.
+func TestUnknownState(t *testing.T) {
+	state := plan.Fleet{Services: []plan.ServiceState{
+		{Name: "katalog", CapacityPerSecond: 1000, Demand: map[string]float64{"browse": 400}},
+		{Name: "buchung", Demand: map[string]float64{"booking": 200}},
+	}}
+	for i := range 100 {
+		state.NotIncluded = append(state.NotIncluded, fmt.Sprintf("buchung-%d (buchung): no answer", i))
+	}
+	p := plan.Make(7, deployed(t), deployed(t, "reserve_percent: 5", "reserve_percent: 20"), state)
+	goldie.New(t).AssertJson(t, "unknown", p)
+}
+
 // Guards against plans that hide a change or a loss, and against plans that
 // differ for equal input, whose digests could not be confirmed.
 func TestPlans(t *testing.T) {
--- a/pkg/sidecar/forwarded.go
+++ b/pkg/sidecar/forwarded.go
@@ -33,6 +33,8 @@
 	timeout   time.Duration
 	depth     int
 	noWait    bool
+	// repeat is true if another sidecar was asked for this call before.
+	repeat bool
 }
 
 // parseForwarded checks the method and headers of a forwarded request.
@@ -94,9 +96,11 @@
 		return &FieldError{outcome.HeaderDepth, "0 to 26"}
 	}
 	f.depth = int(depth)
-	if attempt, err := number(h, outcome.HeaderAttempt, 0); err != nil || attempt > maxAttempt {
+	attempt, err := number(h, outcome.HeaderAttempt, 0)
+	if err != nil || attempt > maxAttempt {
 		return &FieldError{outcome.HeaderAttempt, "0 to 100"}
 	}
+	f.repeat = attempt > 0
 	switch h.Get(outcome.HeaderQueue) {
 	case outcome.QueueNoWait:
 		f.noWait = true
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -210,6 +210,7 @@
 	s.followIntent()
 	release, err := s.admission.Acquire(ctx, admission.Request{
 		Rank: c.forwarded.rank, Caller: c.forwarded.caller, Deadline: deadline, NoWait: c.forwarded.noWait,
+		Repeat: c.forwarded.repeat,
 	})
 	if err != nil {
 		return refusalProblem(err)
