Test a node end to end in one process

Cause: pkg/node had no tests, so parts that work alone could be left unwired.

Change: four tests start nodes with the log and upstream stand-ins over real connections: announcement, configuration, call, drain and its end; a plan that shows the demand; a graceful stop with a streamed request in flight; a start with the log down that gets the configuration from a peer. goleak checks the process at the end.

Not seen: without the wait for the goroutines in Stop the tests pass, since the goroutines end soon after and goleak waits for them.

--- /dev/null
+++ b/pkg/node/helper_test.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/goleak"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+	pbconnect "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1/mulberrytrayv1connect"
+	"github.com/mulberrytray/mulberrytray/internal/standin/platformlog"
+	"github.com/mulberrytray/mulberrytray/internal/standin/upstream"
+	"github.com/mulberrytray/mulberrytray/pkg/event"
+	"github.com/mulberrytray/mulberrytray/pkg/outcome"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// waitLimit is far above what any step takes; it only ends a test that failed.
+const waitLimit = 20 * time.Second
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitLimit); !done(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", waitLimit, what)
+		}
+	}
+}
+
+// serve runs a handler on an address of the test network until the test ends.
+func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.21.2:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := httptest.NewUnstartedServer(h)
+	_ = s.Listener.Close()
+	s.Listener = l
+	s.Start()
+	t.Cleanup(s.Close)
+	return l.Addr().String()
+}
+
+func newLog(t *testing.T) (*platformlog.Server, string) {
+	log := platformlog.New(time.Hour)
+	return log, "http://" + serve(t, log.Handler())
+}
+
+// freeAddress returns an address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.21.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func validSettings() Settings {
+	return Settings{
+		NodeID: "katalog-1", Region: "ostregion", FailureDomain: "vie-hall1",
+		CallerAddress: "127.0.21.1:1", PeerAddress: "127.0.21.1:2", LocalAddress: "127.0.21.1:3", AdminAddress: "127.0.21.1:4",
+		LogURL: "http://127.0.21.2:1", DefaultTimeout: 10 * time.Second, LogTimeout: time.Second, ProbePeriod: 50 * time.Millisecond,
+	}
+}
+
+// testNode is a node with an operator and a caller.
+type testNode struct {
+	*Node
+	operator pbconnect.OperatorServiceClient
+	stopped  bool
+}
+
+func startNode(t *testing.T, id, logURL string, peers ...string) *testNode {
+	t.Helper()
+	s := validSettings()
+	s.NodeID, s.LogURL, s.Peers = id, logURL, peers
+	s.CallerAddress, s.PeerAddress = freeAddress(t), freeAddress(t)
+	s.LocalAddress, s.AdminAddress = freeAddress(t), freeAddress(t)
+	n, err := New(s, event.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	tn := &testNode{Node: n, operator: pbconnect.NewOperatorServiceClient(http.DefaultClient, "http://"+s.AdminAddress)}
+	t.Cleanup(func() { tn.stop(t) })
+	return tn
+}
+
+func (n *testNode) stop(t *testing.T) {
+	t.Helper()
+	if n.stopped {
+		return
+	}
+	n.stopped = true
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	if err := n.Stop(ctx); err != nil {
+		t.Errorf("stop of %s: %v", n.settings.NodeID, err)
+	}
+}
+
+// announce runs an upstream beside the node and waits until it is ready.
+func (n *testNode) announce(t *testing.T, service string) {
+	t.Helper()
+	var u *upstream.Server
+	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { u.ServeHTTP(w, r) }))
+	u = upstream.New(upstream.Config{
+		Service: service, Address: address, Slots: 4, ServiceTime: 5 * time.Millisecond,
+		AnnounceURL: "http://" + n.settings.LocalAddress + "/v1/announce", NodeURL: "http://" + n.settings.CallerAddress,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		u.Announce(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	waitFor(t, "the upstream is a candidate", func() bool { return len(n.Candidates(service)) > 0 })
+}
+
+// deployed returns an intent file, changed by the replacements.
+func deployed(t *testing.T, replacements ...string) string {
+	t.Helper()
+	data, err := os.ReadFile("../../deploy/liegewerk/intent.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.NewReplacer(replacements...).Replace(string(data))
+}
+
+// propose returns the proposal of an intent.
+func (n *testNode) propose(t *testing.T, yaml string) *pb.ProposeResponse {
+	t.Helper()
+	resp, err := n.operator.Propose(t.Context(), connect.NewRequest(&pb.ProposeRequest{IntentYaml: yaml, Operator: "anna"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.Msg
+}
+
+// configure puts an intent in force.
+func (n *testNode) configure(t *testing.T, yaml string) {
+	t.Helper()
+	p := n.propose(t, yaml)
+	resp, err := n.operator.Confirm(t.Context(), connect.NewRequest(&pb.ConfirmRequest{
+		ProposalId: p.ProposalId, PlanDigest: p.PlanDigest, Operator: "anna",
+	}))
+	if err != nil || !resp.Msg.Accepted {
+		t.Fatalf("confirmation: %v, %v", resp, err)
+	}
+}
+
+func (n *testNode) drain(t *testing.T, nodeID string, drain bool) {
+	t.Helper()
+	_, err := n.operator.SetDrain(t.Context(), connect.NewRequest(&pb.SetDrainRequest{NodeId: nodeID, Drain: drain, Operator: "anna"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answer is a complete response to a caller.
+type answer struct {
+	status  int
+	outcome outcome.Outcome
+	body    string
+	err     error
+}
+
+// call sends a request to katalog through the node. The header is given in pairs.
+func (n *testNode) call(header ...string) (a answer) {
+	r, err := http.NewRequest(http.MethodGet, "http://"+n.settings.CallerAddress+"/stock", nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	r.Header.Set(outcome.HeaderService, "katalog")
+	r.Header.Set(outcome.HeaderRank, "browse")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, outcome: outcome.Outcome(resp.Header.Get(outcome.HeaderOutcome)), body: string(body), err: err}
+}
--- /dev/null
+++ b/pkg/node/node_test.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/internal/standin/platformlog"
+	"github.com/mulberrytray/mulberrytray/internal/standin/upstream"
+	"github.com/mulberrytray/mulberrytray/pkg/outcome"
+)
+
+// Guards against parts that work alone but are not wired together: announcement,
+// configuration, call, drain order and its end.
+func TestServeAndDrain(t *testing.T) {
+	_, logURL := newLog(t)
+	n := startNode(t, "katalog-1", logURL)
+	n.announce(t, "katalog")
+	if a := n.call(); a.status != http.StatusServiceUnavailable || a.outcome != outcome.NotRun {
+		t.Errorf("call without a configuration: %+v", a)
+	}
+	n.configure(t, deployed(t))
+	if a := n.call(); a.status != http.StatusOK || a.outcome != outcome.Run {
+		t.Errorf("call: %+v", a)
+	}
+	n.drain(t, "katalog-1", true)
+	ordered := time.Now()
+	waitFor(t, "drained", func() bool { return n.call().status == http.StatusServiceUnavailable })
+	if took := time.Since(ordered); took > 3*time.Second {
+		t.Errorf("the drain took %v", took)
+	}
+	if a := n.call(); a.outcome != outcome.NotRun {
+		t.Errorf("call to a drained upstream: %+v", a)
+	}
+	n.drain(t, "katalog-1", false)
+	waitFor(t, "serving again", func() bool { return n.call().status == http.StatusOK })
+}
+
+// Guards against plans that do not show the present load of the fleet.
+func TestPlanShowsDemand(t *testing.T) {
+	_, logURL := newLog(t)
+	n := startNode(t, "katalog-1", logURL)
+	n.announce(t, "katalog")
+	first := n.propose(t, deployed(t))
+	if want := `"unknown_capacity":["buchung","kasse","katalog"],"not_included":["katalog-1 (katalog): no completed call yet"]`; !strings.Contains(first.PlanJson, want) {
+		t.Errorf("the plan before the first call lacks %s: %s", want, first.PlanJson)
+	}
+	n.configure(t, deployed(t))
+	for range 20 {
+		n.call()
+	}
+	waitFor(t, "a plan with demand", func() bool {
+		p := n.propose(t, deployed(t, "reserve_percent: 5", "reserve_percent: 20")).PlanJson
+		return strings.Contains(p, `"unknown_capacity":["buchung","kasse"]`) && strings.Contains(p, `"rank":"browse"`)
+	})
+}
+
+// Guards against a planned stop that cuts off a request in flight, or takes new
+// work during it.
+func TestGracefulStop(t *testing.T) {
+	_, logURL := newLog(t)
+	n := startNode(t, "katalog-1", logURL)
+	n.announce(t, "katalog")
+	n.configure(t, deployed(t))
+	result := make(chan answer, 1)
+	go func() { result <- n.call(upstream.HeaderStream, "5/100") }()
+	waitFor(t, "in flight", func() bool { return n.Status().Load.InFlight == 1 })
+	n.stop(t)
+	if a := <-result; a.err != nil || a.status != http.StatusOK || strings.Count(a.body, "chunk") != 5 {
+		t.Errorf("request in flight: %+v", a)
+	}
+	if a := n.call(); a.err == nil {
+		t.Errorf("call after the stop: %+v", a)
+	}
+}
+
+// Guards against a fleet that cannot replace a VM while the log is down.
+func TestStartWithoutLog(t *testing.T) {
+	log, logURL := newLog(t)
+	first := startNode(t, "katalog-1", logURL)
+	first.configure(t, deployed(t))
+	log.SetFaults(platformlog.Faults{Down: true})
+	second := startNode(t, "katalog-2", logURL, first.settings.PeerAddress)
+	second.announce(t, "katalog")
+	waitFor(t, "the configuration of a peer", func() bool { return second.Status().ConfigVersion == 1 })
+	if a := second.call(); a.status != http.StatusOK {
+		t.Errorf("call: %+v", a)
+	}
+	waitFor(t, "the upstream of a peer", func() bool { return first.call().status == http.StatusOK })
+}
