--- a/cmd/mtnode/main.go
+++ b/cmd/mtnode/main.go
@@ -26,14 +26,13 @@
 func command() *cli.Command {
 	var s node.Settings
 	var check bool
-	var logFormat string
 	return &cli.Command{
 		Name:  "mtnode",
 		Usage: "run one node of mulberrytray beside an upstream VM",
 		Flags: []cli.Flag{
-			text("node-id", "unique name of the node", "", &s.NodeID),
-			text("region", "region of the VM", "default", &s.Region),
-			text("failure-domain", "failure domain of the VM", "", &s.FailureDomain),
+			text("node-id", "unique name of the node, 1 to 64 characters of a-z, 0-9, '.', '_' and '-'", "", &s.NodeID),
+			text("region", "region of the VM, a name like that of the node", "default", &s.Region),
+			text("failure-domain", "failure domain of the VM, a name like that of the node", "", &s.FailureDomain),
 			text("caller-address", "IP:port for callers", "127.0.0.1:8080", &s.CallerAddress),
 			text("peer-address", "IP:port for other nodes", "127.0.0.1:8081", &s.PeerAddress),
 			text("local-address", "IP:port for the upstream beside the node", "127.0.0.1:8082", &s.LocalAddress),
@@ -42,15 +41,25 @@
 			&cli.StringSliceFlag{Name: "peers", Usage: "IP:port of other nodes' peer listeners, for the first contact", Sources: cli.EnvVars("MTNODE_PEERS"), Destination: &s.Peers},
 			duration("default-timeout", "timeout of requests that state none (1ms to 300s)", 10*time.Second, &s.DefaultTimeout),
 			duration("log-timeout", "limit of a call to the log (100ms to 30s)", 2*time.Second, &s.LogTimeout),
+			duration("log-retention", "how long the log keeps records (1m to 720h)", time.Hour, &s.LogRetention),
 			duration("probe-period", "time between two membership probes (50ms to 10s)", time.Second, &s.ProbePeriod),
-			text("log-format", "text or json", "text", &logFormat),
+			text("log-format", "text or json", "text", &s.LogFormat),
+			text("log-level", "least severity of the events written: debug, info, warn or error", "info", &s.LogLevel),
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit", Destination: &check},
 		},
-		Action: func(ctx context.Context, _ *cli.Command) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if err := s.Validate(); err != nil {
+				return err
+			}
 			if check {
-				return s.Validate()
+				_, err := fmt.Fprintln(c.Root().Writer, "all settings are valid")
+				return err
+			}
+			level, err := log.ParseLevel(s.LogLevel)
+			if err != nil {
+				return err
 			}
-			return run(ctx, s, event.NewLogger(os.Stderr, event.Format(logFormat), log.InfoLevel))
+			return run(ctx, s, event.NewLogger(os.Stderr, event.Format(s.LogFormat), level))
 		},
 	}
 }
--- a/pkg/node/helper_test.go
+++ b/pkg/node/helper_test.go
@@ -72,6 +72,7 @@
 		NodeID: "katalog-1", Region: "ostregion", FailureDomain: "vie-hall1",
 		CallerAddress: "127.0.21.1:1", PeerAddress: "127.0.21.1:2", LocalAddress: "127.0.21.1:3", AdminAddress: "127.0.21.1:4",
 		LogURL: "http://127.0.21.2:1", DefaultTimeout: 10 * time.Second, LogTimeout: time.Second, ProbePeriod: 50 * time.Millisecond,
+		LogRetention: time.Hour, LogFormat: "text", LogLevel: "info",
 	}
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("node: %w", err)
 	}
-	n.keeper = configlog.NewKeeper(n.log, n.events)
+	n.keeper = configlog.NewKeeper(n.log, n.events, configlog.WithRetention(s.LogRetention))
 	n.sidecar = n.newSidecar()
 	n.agent = membership.NewAgent(membership.Config{
 		Period: s.ProbePeriod, ProbeTimeout: 300 * time.Millisecond, SuspicionTimeout: 4 * time.Second,
