Deliver drain orders to their node at once

Change: the node that takes SetDrain calls ReadLog, a new peer call, at the target with the log offset that includes the order. The target reads the log up to it, applies its order and answers. The log stays the only source of orders. SetDrainResponse says whether the order is applied; mtctl fails with exit code 1 if not. Gossip of log offsets was not chosen, since each record would change the entries of all nodes.

Conclusion: the delivery was tested with two nodes in one process and a fake sender. It was not run in a large fleet.

--- a/cmd/mtctl/fleet.go
+++ b/cmd/mtctl/fleet.go
@@ -54,40 +54,38 @@
 	return "unreachable: " + m.LogError
 }
 
-// setDrain sends the order through the node concerned, which then applies it at
-// once. Other nodes may read it only at their next poll, up to 80 s later.
+// setDrain orders a drain or its end. An order that the node has not applied yet
+// is a failure, so that scripts do not go on as if the upstream had no new work.
 func setDrain(drain bool) cli.ActionFunc {
 	return func(ctx context.Context, c *cli.Command) error {
 		id := c.Args().First()
-		status, err := members(ctx, c)
-		if err != nil {
+		if err := checkMember(ctx, c, id); err != nil && drain {
 			return err
 		}
 		req := &pb.SetDrainRequest{NodeId: id, Drain: drain, Operator: c.String("operator")}
-		m := find(status.Members, id)
-		if m == nil && drain {
-			return fmt.Errorf("no member %q", id)
-		}
-		if m.GetStatus() == pb.MemberStatus_MEMBER_STATUS_ALIVE && m.GetAdminAddress() != "" {
-			_, err = clientAt(m.AdminAddress).SetDrain(ctx, connect.NewRequest(req))
-			if err == nil {
-				return show(c, req, [][]string{{"ordered and applied at", id}})
-			}
-		}
-		if _, err = client(c).SetDrain(ctx, connect.NewRequest(req)); err != nil {
+		resp, err := client(c).SetDrain(ctx, connect.NewRequest(req))
+		if err != nil {
 			return err
 		}
-		return show(c, req, [][]string{{"ordered; applied when the node next reads the log", id}})
+		if !resp.Msg.Applied {
+			return fmt.Errorf("the order for %s is on the log, but not applied yet: %s", id, resp.Msg.Detail)
+		}
+		return show(c, req, [][]string{{"ordered and applied at", id}})
 	}
 }
 
-func find(list []*pb.Member, id string) *pb.Member {
-	for _, m := range list {
+// checkMember fails for a name that the fleet does not know, which is probably mistyped.
+func checkMember(ctx context.Context, c *cli.Command, id string) error {
+	status, err := members(ctx, c)
+	if err != nil {
+		return err
+	}
+	for _, m := range status.Members {
 		if m.NodeId == id {
-			return m
+			return nil
 		}
 	}
-	return nil
+	return fmt.Errorf("no member %q", id)
 }
 
 func explainRequest(ctx context.Context, c *cli.Command) error {
--- a/gen/mulberrytray/v1/mulberrytrayv1connect/peer.connect.go
+++ b/gen/mulberrytray/v1/mulberrytrayv1connect/peer.connect.go
@@ -51,6 +51,8 @@
 	PeerServiceIssueTokenProcedure = "/mulberrytray.v1.PeerService/IssueToken"
 	// PeerServiceProbeLoadProcedure is the fully-qualified name of the PeerService's ProbeLoad RPC.
 	PeerServiceProbeLoadProcedure = "/mulberrytray.v1.PeerService/ProbeLoad"
+	// PeerServiceReadLogProcedure is the fully-qualified name of the PeerService's ReadLog RPC.
+	PeerServiceReadLogProcedure = "/mulberrytray.v1.PeerService/ReadLog"
 )
 
 // PeerServiceClient is a client for the mulberrytray.v1.PeerService service.
@@ -69,6 +71,9 @@
 	IssueToken(context.Context, *connect.Request[v1.IssueTokenRequest]) (*connect.Response[v1.IssueTokenResponse], error)
 	// ProbeLoad returns the current load of the receiver's upstream.
 	ProbeLoad(context.Context, *connect.Request[v1.ProbeLoadRequest]) (*connect.Response[v1.ProbeLoadResponse], error)
+	// ReadLog makes a node read the log now, and apply drain orders for it, before
+	// it answers. A receiver that is not the target passes the call on once.
+	ReadLog(context.Context, *connect.Request[v1.ReadLogRequest]) (*connect.Response[v1.ReadLogResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the mulberrytray.v1.PeerService service. By default,
@@ -124,6 +129,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("ProbeLoad")),
 			connect.WithClientOptions(opts...),
 		),
+		readLog: connect.NewClient[v1.ReadLogRequest, v1.ReadLogResponse](
+			httpClient,
+			baseURL+PeerServiceReadLogProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ReadLog")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -136,6 +147,7 @@
 	reportQuarantine *connect.Client[v1.ReportQuarantineRequest, v1.ReportQuarantineResponse]
 	issueToken       *connect.Client[v1.IssueTokenRequest, v1.IssueTokenResponse]
 	probeLoad        *connect.Client[v1.ProbeLoadRequest, v1.ProbeLoadResponse]
+	readLog          *connect.Client[v1.ReadLogRequest, v1.ReadLogResponse]
 }
 
 // Ping calls mulberrytray.v1.PeerService.Ping.
@@ -173,6 +185,11 @@
 	return c.probeLoad.CallUnary(ctx, req)
 }
 
+// ReadLog calls mulberrytray.v1.PeerService.ReadLog.
+func (c *peerServiceClient) ReadLog(ctx context.Context, req *connect.Request[v1.ReadLogRequest]) (*connect.Response[v1.ReadLogResponse], error) {
+	return c.readLog.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the mulberrytray.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Ping is the SWIM probe. It carries membership updates both ways.
@@ -189,6 +206,9 @@
 	IssueToken(context.Context, *connect.Request[v1.IssueTokenRequest]) (*connect.Response[v1.IssueTokenResponse], error)
 	// ProbeLoad returns the current load of the receiver's upstream.
 	ProbeLoad(context.Context, *connect.Request[v1.ProbeLoadRequest]) (*connect.Response[v1.ProbeLoadResponse], error)
+	// ReadLog makes a node read the log now, and apply drain orders for it, before
+	// it answers. A receiver that is not the target passes the call on once.
+	ReadLog(context.Context, *connect.Request[v1.ReadLogRequest]) (*connect.Response[v1.ReadLogResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -240,6 +260,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("ProbeLoad")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceReadLogHandler := connect.NewUnaryHandler(
+		PeerServiceReadLogProcedure,
+		svc.ReadLog,
+		connect.WithSchema(peerServiceMethods.ByName("ReadLog")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/mulberrytray.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServicePingProcedure:
@@ -256,6 +282,8 @@
 			peerServiceIssueTokenHandler.ServeHTTP(w, r)
 		case PeerServiceProbeLoadProcedure:
 			peerServiceProbeLoadHandler.ServeHTTP(w, r)
+		case PeerServiceReadLogProcedure:
+			peerServiceReadLogHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -292,3 +320,7 @@
 func (UnimplementedPeerServiceHandler) ProbeLoad(context.Context, *connect.Request[v1.ProbeLoadRequest]) (*connect.Response[v1.ProbeLoadResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mulberrytray.v1.PeerService.ProbeLoad is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) ReadLog(context.Context, *connect.Request[v1.ReadLogRequest]) (*connect.Response[v1.ReadLogResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mulberrytray.v1.PeerService.ReadLog is not implemented"))
+}
--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -10,19 +11,29 @@
 // the read of the log it stays well below the bound of 3 s.
 const drainInterval = 100 * time.Millisecond
 
+// drainState is the order that the sidecar follows.
+type drainState struct {
+	mu      sync.Mutex
+	applied bool
+}
+
 // followDrain applies operators' drain orders for this node to the sidecar.
 func (n *Node) followDrain(ctx context.Context) {
-	applied := false
 	for ctx.Err() == nil {
-		ordered := slices.Contains(n.keeper.Current().State.DrainedNodes, n.settings.NodeID)
-		if ordered != applied {
-			n.applyDrain(ordered)
-			applied = ordered
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(drainInterval):
-		}
+		n.applyOrder()
+		wait(ctx, drainInterval)
+	}
+}
+
+// applyOrder passes the order in force on to the sidecar if it changed. It is
+// safe for concurrent use.
+func (n *Node) applyOrder() {
+	n.drain.mu.Lock()
+	defer n.drain.mu.Unlock()
+	ordered := slices.Contains(n.keeper.Current().State.DrainedNodes, n.settings.NodeID)
+	if ordered != n.drain.applied {
+		n.applyDrain(ordered)
+		n.drain.applied = ordered
 	}
 }
 
--- a/pkg/node/helper_test.go
+++ b/pkg/node/helper_test.go
@@ -84,6 +84,13 @@
 }
 
 func startNode(t *testing.T, id, logURL string, peers ...string) *testNode {
+	t.Helper()
+	n := newNode(t, id, logURL, peers...)
+	n.start(t)
+	return n
+}
+
+func newNode(t *testing.T, id, logURL string, peers ...string) *testNode {
 	t.Helper()
 	s := validSettings()
 	s.NodeID, s.LogURL, s.Peers = id, logURL, peers
@@ -93,12 +100,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return &testNode{Node: n, operator: pbconnect.NewOperatorServiceClient(http.DefaultClient, "http://"+s.AdminAddress)}
+}
+
+func (n *testNode) start(t *testing.T) {
+	t.Helper()
 	if err := n.Start(); err != nil {
 		t.Fatal(err)
 	}
-	tn := &testNode{Node: n, operator: pbconnect.NewOperatorServiceClient(http.DefaultClient, "http://"+s.AdminAddress)}
-	t.Cleanup(func() { tn.stop(t) })
-	return tn
+	t.Cleanup(func() { n.stop(t) })
 }
 
 func (n *testNode) stop(t *testing.T) {
@@ -168,12 +178,13 @@
 	}
 }
 
-func (n *testNode) drain(t *testing.T, nodeID string, drain bool) {
+func (n *testNode) order(t *testing.T, nodeID string, drain bool) *pb.SetDrainResponse {
 	t.Helper()
-	_, err := n.operator.SetDrain(t.Context(), connect.NewRequest(&pb.SetDrainRequest{NodeId: nodeID, Drain: drain, Operator: "anna"}))
+	resp, err := n.operator.SetDrain(t.Context(), connect.NewRequest(&pb.SetDrainRequest{NodeId: nodeID, Drain: drain, Operator: "anna"}))
 	if err != nil {
 		t.Fatal(err)
 	}
+	return resp.Msg
 }
 
 // answer is a complete response to a caller.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -67,6 +67,9 @@
 	// newer takes the address of a peer that shows a newer configuration.
 	newer chan string
 	meter fleetMeter
+	drain drainState
+	// poll returns the time until the next read of the log.
+	poll func() time.Duration
 
 	servers []*http.Server
 	cancel  context.CancelFunc
@@ -110,6 +113,7 @@
 		Region: s.Region, FailureDomain: s.FailureDomain,
 	}, n.peers, n.events)
 	n.newer = make(chan string, 1)
+	n.poll = n.pollInterval
 	n.agent.OnUpdate(n.noteVersion)
 	n.ingress = ingress.New(ingress.Config{DefaultTimeout: s.DefaultTimeout, MaxTimeout: 300 * time.Second},
 		n, n, &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true})
@@ -126,12 +130,13 @@
 		OnPing: n.handlePing, OnPingIndirect: n.agent.HandlePingIndirect,
 		OnSync: n.handleSync, OnSnapshot: n.handleSnapshot,
 		OnQuarantine: n.handleQuarantine, OnIssueToken: n.handleIssueToken, OnProbeLoad: n.handleProbe,
+		OnReadLog: n.handleReadLog,
 	}).Mount(peerMux)
 	peerMux.Handle("/", n.tokens.Wrap(n.sidecar))
 	localMux := http.NewServeMux()
 	localMux.HandleFunc("/v1/announce", n.sidecar.ServeAnnounce)
 	adminMux := http.NewServeMux()
-	operator.New(n.keeper, n, operator.WithCapacity(n.fleetCapacity)).Mount(adminMux)
+	operator.New(n.keeper, n, operator.WithCapacity(n.fleetCapacity), operator.WithDelivery(n.deliverOrder)).Mount(adminMux)
 	adminMux.Handle("GET /metrics", telemetry.Handler(n.registry))
 	for _, l := range []struct {
 		address string
@@ -146,7 +151,7 @@
 			return err
 		}
 	}
-	n.goDo(func() { n.keeper.Run(ctx, n.pollInterval) })
+	n.goDo(func() { n.keeper.Run(ctx, n.poll) })
 	n.goDo(func() { n.agent.Run(ctx) })
 	n.goDo(func() { n.announceSelf(ctx) })
 	n.goDo(func() { n.followPeers(ctx) })
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -24,7 +24,7 @@
 	if a := n.call(); a.status != http.StatusOK || a.outcome != outcome.Run {
 		t.Errorf("call: %+v", a)
 	}
-	n.drain(t, "katalog-1", true)
+	n.order(t, "katalog-1", true)
 	ordered := time.Now()
 	waitFor(t, "drained", func() bool { return n.call().status == http.StatusServiceUnavailable })
 	if took := time.Since(ordered); took > 3*time.Second {
@@ -33,7 +33,7 @@
 	if a := n.call(); a.outcome != outcome.NotRun {
 		t.Errorf("call to a drained upstream: %+v", a)
 	}
-	n.drain(t, "katalog-1", false)
+	n.order(t, "katalog-1", false)
 	waitFor(t, "serving again", func() bool { return n.call().status == http.StatusOK })
 }
 
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -30,6 +30,7 @@
 	fleet     Fleet
 	explainer Explainer
 	capacity  func(context.Context) plan.Fleet
+	deliver   Delivery
 }
 
 var _ pbconnect.OperatorServiceHandler = (*Service)(nil)
@@ -49,9 +50,22 @@
 	return func(s *Service) { s.capacity = f }
 }
 
+// Delivery makes a node apply its drain order from the log up to the offset. It
+// returns within 3 s and is safe for concurrent use.
+type Delivery func(ctx context.Context, nodeID string, nextOffset uint64) error
+
+// WithDelivery sets how drain orders reach their node at once. Without it, a node
+// applies an order when it next reads the log.
+func WithDelivery(d Delivery) Option {
+	return func(s *Service) { s.deliver = d }
+}
+
+var errNoDelivery = errors.New("the node applies it when it next reads the log")
+
 // New returns the service of one node.
 func New(k *configlog.Keeper, f Fleet, options ...Option) *Service {
 	s := &Service{keeper: k, fleet: f, capacity: func(context.Context) plan.Fleet { return plan.Fleet{} }}
+	s.deliver = func(context.Context, string, uint64) error { return errNoDelivery }
 	for _, o := range options {
 		o(s)
 	}
@@ -173,7 +187,8 @@
 	return nil, connect.NewError(connect.CodeUnavailable, fmt.Errorf("record %s was appended, but its audit entry is gone; see the audit trail", id))
 }
 
-// SetDrain appends a drain order. Nodes apply it when they read the log.
+// SetDrain appends a drain order and delivers it to its node. The answer says
+// whether the node has applied it; an order that was not delivered is no error.
 func (s *Service) SetDrain(ctx context.Context, req *connect.Request[pb.SetDrainRequest]) (*connect.Response[pb.SetDrainResponse], error) {
 	if err := checkNames(name{"operator", req.Msg.Operator}, name{"node_id", req.Msg.NodeId}); err != nil {
 		return nil, err
@@ -184,7 +199,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return connect.NewResponse(&pb.SetDrainResponse{}), nil
+	if err := s.deliver(ctx, req.Msg.NodeId, s.keeper.Current().State.NextOffset); err != nil {
+		return connect.NewResponse(&pb.SetDrainResponse{Detail: err.Error()}), nil
+	}
+	return connect.NewResponse(&pb.SetDrainResponse{Applied: true}), nil
 }
 
 // ListVersions returns the history of accepted versions.
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -104,6 +104,11 @@
 	return call(ctx, req, c.at(address).ProbeLoad)
 }
 
+// ReadLog makes a node read the log now.
+func (c *Client) ReadLog(ctx context.Context, address string, req *pb.ReadLogRequest) (*pb.ReadLogResponse, error) {
+	return call(ctx, req, c.at(address).ReadLog)
+}
+
 // Handler answers the messages of other nodes. Each field may be nil; its calls
 // then answer "unimplemented".
 type Handler struct {
@@ -114,6 +119,7 @@
 	OnQuarantine   func(context.Context, *pb.ReportQuarantineRequest) (*pb.ReportQuarantineResponse, error)
 	OnIssueToken   func(context.Context, *pb.IssueTokenRequest) (*pb.IssueTokenResponse, error)
 	OnProbeLoad    func(context.Context, *pb.ProbeLoadRequest) (*pb.ProbeLoadResponse, error)
+	OnReadLog      func(context.Context, *pb.ReadLogRequest) (*pb.ReadLogResponse, error)
 }
 
 // Mount registers the peer service on the mux.
@@ -166,3 +172,7 @@
 func (s *server) ProbeLoad(ctx context.Context, req *connect.Request[pb.ProbeLoadRequest]) (*connect.Response[pb.ProbeLoadResponse], error) {
 	return answer(ctx, req, s.h.OnProbeLoad)
 }
+
+func (s *server) ReadLog(ctx context.Context, req *connect.Request[pb.ReadLogRequest]) (*connect.Response[pb.ReadLogResponse], error) {
+	return answer(ctx, req, s.h.OnReadLog)
+}
