Show plans as tables and name the nodes that watch waits for

Cause: mtctl printed a plan as JSON only, its subcommands had no examples, and watch told only at its end which nodes lack the version.

Change: propose and plan show the changes, what is not included, and for each level of demand the worth and what each rank gets now and under the proposal, losses first. -o json is unchanged. While it waits, watch names up to 5 nodes with the reason each time the list changes, on standard error; it also asks suspect members, which may still serve. Each subcommand's help has an example.

--- a/cmd/mtctl/config.go
+++ b/cmd/mtctl/config.go
@@ -24,10 +24,10 @@
 		return err
 	}
 	m := resp.Msg
-	return show(c, m, [][]string{
-		{"proposal", m.ProposalId}, {"base version", fmt.Sprint(m.BaseVersion)}, {"plan", m.PlanJson}, {"digest", m.PlanDigest},
+	return showWithPlan(c, m, [][]string{
+		{"proposal", m.ProposalId}, {"base version", fmt.Sprint(m.BaseVersion)}, {"digest", m.PlanDigest},
 		{"to confirm", fmt.Sprintf("mtctl confirm %s %s", m.ProposalId, m.PlanDigest)},
-	})
+	}, m.PlanJson)
 }
 
 func showPlan(ctx context.Context, c *cli.Command) error {
@@ -36,11 +36,11 @@
 		return err
 	}
 	p := resp.Msg.Proposal
-	return show(c, resp.Msg, [][]string{
+	return showWithPlan(c, resp.Msg, [][]string{
 		{"operator", p.Operator}, {"time", formatTime(p.TimeUnixMs)},
 		{"base version", fmt.Sprint(p.BaseVersion)}, {"current version", fmt.Sprint(resp.Msg.CurrentVersion)},
-		{"plan", p.PlanJson}, {"digest", p.PlanDigest},
-	})
+		{"digest", p.PlanDigest},
+	}, p.PlanJson)
 }
 
 func confirm(ctx context.Context, c *cli.Command) error {
--- a/cmd/mtctl/main.go
+++ b/cmd/mtctl/main.go
@@ -76,24 +76,24 @@
 		Description: description,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "node", Value: "127.0.0.1:8083", Usage: "IP:port of a node's admin listener", Sources: cli.EnvVars("MTCTL_NODE")},
-			&cli.StringFlag{Name: "operator", Value: os.Getenv("USER"), Usage: "name for the audit trail, 1 to 64 bytes", Sources: cli.EnvVars("MTCTL_OPERATOR")},
+			&cli.StringFlag{Name: "operator", Value: os.Getenv("USER"), DefaultText: "$USER", Usage: "name for the audit trail, 1 to 64 bytes", Sources: cli.EnvVars("MTCTL_OPERATOR")},
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "table", Usage: "table or json", Validator: validOutput},
 		},
 		Action: noCommand,
 		Commands: []*cli.Command{
-			leaf("propose", "propose an intent and show its plan", "FILE", propose),
-			leaf("plan", "show the plan of a pending proposal", "PROPOSAL", showPlan),
-			leaf("confirm", "put a proposal in force", "PROPOSAL DIGEST", confirm),
+			leaf("propose", "propose an intent and show its plan", "FILE", "mtctl propose intent.yaml", propose),
+			leaf("plan", "show the plan of a pending proposal", "PROPOSAL", "mtctl plan 6f1c2a9e-0d7b-4c55-9f0e-2f6d1b1c9a77", showPlan),
+			leaf("confirm", "put a proposal in force", "PROPOSAL DIGEST", "mtctl confirm 6f1c2a9e-0d7b-4c55-9f0e-2f6d1b1c9a77 DIGEST", confirm),
 			watchCommand(),
-			leaf("versions", "show the accepted versions", "", versions),
-			leaf("audit", "show the audit trail", "", audit, &cli.Uint32Flag{Name: "limit", Value: 50, Usage: "newest entries shown, 1 to 1024"}),
-			leaf("fleet", "show the members", "", fleet),
-			leaf("node", "show the state of the node asked", "", node),
-			leaf("drain", "give a node's upstream no new work", "NODE", setDrain(true)),
-			leaf("undrain", "give a node's upstream work again", "NODE", setDrain(false)),
-			{Name: "explain", Usage: "show why a node decided as it did", Action: noCommand, Commands: []*cli.Command{
-				leaf("request", "show the decisions about a request", "ID", explainRequest),
-				leaf("upstream", "show how an upstream is rated", "NODE", explainUpstream),
+			leaf("versions", "show the accepted versions", "", "mtctl -o json versions", versions),
+			leaf("audit", "show the audit trail", "", "mtctl audit --limit 10", audit, &cli.Uint32Flag{Name: "limit", Value: 50, Usage: "newest entries shown, 1 to 1024"}),
+			leaf("fleet", "show the members", "", "mtctl fleet", fleet),
+			leaf("node", "show the state of the node asked", "", "mtctl --node 10.1.2.3:8083 node", node),
+			leaf("drain", "give a node's upstream no new work", "NODE", "mtctl drain katalog-1", setDrain(true)),
+			leaf("undrain", "give a node's upstream work again", "NODE", "mtctl undrain katalog-1", setDrain(false)),
+			{Name: "explain", Usage: "show why a node decided as it did", Description: example("mtctl explain request 5f0c3c9e"), Action: noCommand, Commands: []*cli.Command{
+				leaf("request", "show the decisions about a request", "ID", "mtctl explain request 5f0c3c9e", explainRequest),
+				leaf("upstream", "show how an upstream is rated", "NODE", "mtctl explain upstream katalog-1", explainUpstream),
 			}},
 		},
 	}
@@ -101,10 +101,13 @@
 	return root
 }
 
+// example is the description of a command with one example.
+func example(line string) string { return "Example:\n  " + line }
+
 // leaf returns a command that takes exactly the arguments named in args.
-func leaf(name, usage, args string, action cli.ActionFunc, flags ...cli.Flag) *cli.Command {
+func leaf(name, usage, args, line string, action cli.ActionFunc, flags ...cli.Flag) *cli.Command {
 	want := countFields(args)
-	return &cli.Command{Name: name, Usage: usage, ArgsUsage: args, Flags: flags,
+	return &cli.Command{Name: name, Usage: usage, ArgsUsage: args, Description: example(line), Flags: flags,
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if c.Args().Len() != want {
 				return &usageError{fmt.Sprintf("%s takes %d arguments: %s", name, want, args)}
--- a/cmd/mtctl/output.go
+++ b/cmd/mtctl/output.go
@@ -31,6 +31,14 @@
 	return writeTable(w, rows)
 }
 
+// showWithPlan writes the plan below the rows. As JSON the value holds it.
+func showWithPlan(c *cli.Command, value any, rows [][]string, planJSON string) error {
+	if err := show(c, value, rows); err != nil || c.String("output") == "json" {
+		return err
+	}
+	return writePlan(c.Root().Writer, planJSON)
+}
+
 func writeTable(w io.Writer, rows [][]string) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	for _, row := range rows {
--- /dev/null
+++ b/cmd/mtctl/plan.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/mulberrytray/mulberrytray/pkg/plan"
+)
+
+// writePlan writes a plan for people.
+func writePlan(w io.Writer, planJSON string) error {
+	var p plan.Plan
+	if err := json.Unmarshal([]byte(planJSON), &p); err != nil {
+		return fmt.Errorf("the plan cannot be read: %w", err)
+	}
+	writeList(w, "Changes", p.Changes)
+	writeList(w, "Services of unknown capacity, not in the scenarios", p.UnknownCapacity)
+	writeList(w, "Upstreams not included in the scenarios", p.NotIncluded)
+	if len(p.Changes) == 0 {
+		fmt.Fprintln(w, "\nThe intent changes nothing.")
+	}
+	for _, s := range p.Scenarios {
+		if err := writeScenario(w, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writeList writes a title and its items, or nothing if there are none.
+func writeList(w io.Writer, title string, items []string) {
+	if len(items) == 0 {
+		return
+	}
+	fmt.Fprintf(w, "\n%s:\n", title)
+	for _, item := range items {
+		fmt.Fprintln(w, "  "+item)
+	}
+}
+
+// writeScenario writes what each rank gets, in requests per second. Losses come
+// first, since they decide whether to confirm.
+func writeScenario(w io.Writer, s plan.Scenario) error {
+	fmt.Fprintf(w, "\nAt %s times the present demand, worth served per second: %s -> %s (%s)\n",
+		number(s.DemandFactor), number(s.WorthNow), number(s.WorthProposed), signed(s.WorthProposed-s.WorthNow))
+	ranks := slices.Concat(s.Losses, s.Gains, s.Unchanged)
+	if len(ranks) == 0 {
+		fmt.Fprintln(w, "  no demand is known")
+		return nil
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, strings.Join([]string{"RANK", "DEMAND/S", "NOW/S", "PROPOSED/S", "CHANGE/S", "NOW", "PROPOSED", ""}, "\t"))
+	for _, r := range ranks {
+		fmt.Fprintln(t, strings.Join([]string{
+			r.Rank, number(r.Demand), number(r.Now), number(r.Proposed), signed(r.Proposed - r.Now),
+			number(r.NowPercent) + "%", number(r.ProposedPercent) + "%", "",
+		}, "\t"))
+	}
+	return t.Flush()
+}
+
+// number formats with at most one decimal, as plans are rounded.
+func number(f float64) string {
+	return strings.TrimSuffix(strconv.FormatFloat(f, 'f', 1, 64), ".0")
+}
+
+// signed formats a difference with its sign.
+func signed(f float64) string {
+	text := number(f)
+	switch {
+	case text == "0" || text == "-0":
+		return "0"
+	case f > 0:
+		return "+" + text
+	}
+	return text
+}
--- a/cmd/mtctl/watch.go
+++ b/cmd/mtctl/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,7 +37,7 @@
 }
 
 func watchCommand() *cli.Command {
-	return leaf("watch", "wait until a version is in effect at all alive members", "VERSION", watch,
+	return leaf("watch", "wait until a version is in effect at all alive members", "VERSION", "mtctl watch --timeout 8s 12", watch,
 		&cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "how long to wait"})
 }
 
@@ -46,6 +47,7 @@
 		return &usageError{fmt.Sprintf("version %q is not a number", c.Args().First())}
 	}
 	deadline := time.Now().Add(c.Duration("timeout"))
+	shown := ""
 	for {
 		result, err := watchOnce(ctx, c, version)
 		if err != nil {
@@ -55,6 +57,10 @@
 		if done || time.Now().After(deadline) || ctx.Err() != nil {
 			return reportWatch(c, result, done)
 		}
+		if line := waitingFor(result); line != shown {
+			fmt.Fprintln(c.Root().ErrWriter, line)
+			shown = line
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(watchInterval):
@@ -62,6 +68,21 @@
 	}
 }
 
+// maxNamed bounds the nodes named while waiting. The result names all of them.
+const maxNamed = 5
+
+// waitingFor names nodes that do not have the version yet, and why.
+func waitingFor(r watchResult) string {
+	var names []string
+	for _, l := range r.Missing[:min(len(r.Missing), maxNamed)] {
+		names = append(names, fmt.Sprintf("%s (%s)", l.Node, l.Reason))
+	}
+	if more := len(r.Missing) - len(names); more > 0 {
+		names = append(names, fmt.Sprintf("%d more", more))
+	}
+	return fmt.Sprintf("waiting for %d of %d: %s", len(r.Missing), r.Alive, strings.Join(names, ", "))
+}
+
 func watchOnce(ctx context.Context, c *cli.Command, version uint64) (watchResult, error) {
 	status, err := members(ctx, c)
 	if err != nil {
@@ -69,7 +90,8 @@
 	}
 	var alive []*pb.Member
 	for _, m := range status.Members {
-		if m.Status == pb.MemberStatus_MEMBER_STATUS_ALIVE {
+		// A suspect member may still serve with an older version.
+		if m.Status <= pb.MemberStatus_MEMBER_STATUS_SUSPECT {
 			alive = append(alive, m)
 		}
 	}
