Read the control bytes by their metric names in mtload scale

Cause: the scale measurement summed metrics that no node exposes, and showed 0 control bytes/s.

Change: it reads control_bytes_in and control_bytes_out, fails if a metric is missing, and also reports how long the fleet took to join.

--- a/cmd/mtload/main.go
+++ b/cmd/mtload/main.go
@@ -151,8 +151,8 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("%d nodes, %d services: %.2f %% of a core, %.1f MB, %.0f control bytes/s each; in effect everywhere after %.0f ms\n",
-			s.Nodes, s.Services, s.CPUPercent, float64(s.RSSBytes)/1e6, s.ControlBytesPerSecond, float64(s.Everywhere.Milliseconds()))
+		fmt.Printf("%d nodes, %d services: %.2f %% of a core, %.1f MB, %.0f control bytes/s each; joined after %.1f s; in effect everywhere after %.0f ms\n",
+			s.Nodes, s.Services, s.CPUPercent, float64(s.RSSBytes)/1e6, s.ControlBytesPerSecond, s.Joined.Seconds(), float64(s.Everywhere.Milliseconds()))
 	}
 	return nil
 }
--- a/internal/scenario/scale.go
+++ b/internal/scenario/scale.go
@@ -19,6 +19,9 @@
 	CPUPercent            float64
 	RSSBytes              int64
 	ControlBytesPerSecond float64
+	// Joined is the time from the start of the last process until every node knew
+	// all upstreams as ready.
+	Joined time.Duration
 	// Everywhere is the time from a confirmation until all nodes have it in effect.
 	Everywhere time.Duration
 }
@@ -57,15 +60,17 @@
 	if err != nil {
 		return Scale{}, err
 	}
+	started := time.Now()
 	if _, err := f.PutIntent(ctx, scaleIntent(services, 10), "scale"); err != nil {
 		return Scale{}, err
 	}
 	if err := f.WaitReady(ctx); err != nil {
 		return Scale{}, err
 	}
+	joined := time.Since(started)
 	// Joining costs more than staying; the slopes are about staying.
 	time.Sleep(watch)
-	s := Scale{Nodes: n, Services: services}
+	s := Scale{Nodes: n, Services: services, Joined: joined}
 	if err := s.watch(ctx, f, watch); err != nil {
 		return s, err
 	}
@@ -99,6 +104,17 @@
 	return nil
 }
 
+// MissingMetricError tells that a node does not expose a metric. A missing one
+// would otherwise count as zero.
+type MissingMetricError struct {
+	Instance, Metric string
+}
+
+// Error implements error.
+func (e *MissingMetricError) Error() string {
+	return fmt.Sprintf("node %s does not expose %s", e.Instance, e.Metric)
+}
+
 // controlBytes sums the control bytes sent and received by all nodes.
 func controlBytes(ctx context.Context, f *fleet.Fleet) (float64, error) {
 	sum := 0.0
@@ -107,7 +123,13 @@
 		if err != nil {
 			return 0, err
 		}
-		sum += m["mulberrytray_control_bytes_sent"] + m["mulberrytray_control_bytes_received"]
+		for _, name := range []string{"mulberrytray_control_bytes_in", "mulberrytray_control_bytes_out"} {
+			value, ok := m[name]
+			if !ok {
+				return 0, &MissingMetricError{Instance: i.Name, Metric: name}
+			}
+			sum += value
+		}
 	}
 	return sum, nil
 }
