--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -146,7 +146,6 @@
 	n.goDo(func() { n.keeper.Run(ctx, n.poll) })
 	n.goDo(func() { n.agent.Run(ctx) })
 	n.goDo(func() { n.announceSelf(ctx) })
-	n.goDo(func() { n.reconcileMembers(ctx) })
 	n.goDo(func() { n.followPeers(ctx) })
 	n.goDo(func() { n.refreshSelf(ctx) })
 	n.goDo(func() { n.gossipQuarantine(ctx) })
