--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -43,6 +43,8 @@
 	usual     map[string]time.Duration
 	lastSweep time.Duration
 	seen      map[string]time.Duration
+	// routed is the time of the last send of each service.
+	routed map[string]time.Duration
 }
 
 // NewPicker returns a picker without knowledge.
@@ -50,6 +52,7 @@
 	return &Picker{
 		cfg: cfg, epoch: time.Now(), upstreams: map[string]*upstream{},
 		subsets: subsets{}, usual: map[string]time.Duration{}, seen: map[string]time.Duration{},
+		routed: map[string]time.Duration{},
 	}
 }
 
@@ -110,6 +113,7 @@
 func (p *Picker) begin(now time.Duration, service string, c Candidate, cost time.Duration) *Send {
 	u := p.state(now, c)
 	u.service = service
+	p.routed[service] = now
 	u.begin(now)
 	return &Send{Candidate: c, Cost: cost, Trial: u.breaker.begin(now), picker: p, state: u, start: now}
 }
--- /dev/null
+++ b/pkg/routing/stale_test.go
@@ -0,0 +1,58 @@
+package routing
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+)
+
+// Guards against probes of upstreams that are known, and against upstreams without
+// information that are taken for known ones.
+func TestStale(t *testing.T) {
+	for _, tc := range []struct {
+		desc  string
+		learn func(p *Picker, c Candidate)
+		age   time.Duration
+		want  bool
+	}{
+		{"nothing known", func(*Picker, Candidate) {}, 0, true},
+		{"only sent", func(p *Picker, c Candidate) { p.Use("s", c) }, 0, true},
+		{"answer", func(p *Picker, c Candidate) { p.Use("s", c).Answer(http.StatusOK, nil) }, time.Second / 2, false},
+		{"old answer", func(p *Picker, c Candidate) { p.Use("s", c).Answer(http.StatusOK, nil) }, time.Second, true},
+		{"refusal with a load", func(p *Picker, c Candidate) { p.Use("s", c).Done(Refused, &pb.Load{}) }, time.Second / 2, false},
+		{"probed", func(p *Picker, c Candidate) { p.Observe(c.NodeID, c.Incarnation, &pb.Load{}) }, time.Second / 2, false},
+		{"probed long ago", func(p *Picker, c Candidate) { p.Observe(c.NodeID, c.Incarnation, &pb.Load{}) }, time.Second, true},
+		{"probe of another incarnation", func(p *Picker, c Candidate) { p.Observe(c.NodeID, 2, &pb.Load{}) }, 0, true},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, c := NewPicker(Config{}), fleet(1)
+				p.Stale("s", c, time.Second)
+				tc.learn(p, c[0])
+				time.Sleep(tc.age)
+				if got := p.Stale("s", c, time.Second); len(got) == 1 != tc.want {
+					t.Errorf("got %v, want stale %v", got, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against probes of services that this node does not route to.
+func TestRecent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, c := NewPicker(Config{}), fleet(2)
+		p.Stale("only probed", c, time.Second)
+		p.Use("old", c[0]).Done(Completed, nil)
+		time.Sleep(6 * time.Second)
+		p.Use("new", c[1]).Done(Completed, nil)
+		time.Sleep(4 * time.Second)
+		if got := p.Recent(10 * time.Second); !slices.Equal(got, []string{"new"}) {
+			t.Errorf("got %q, want only the service used in the last 10 s", got)
+		}
+	})
+}
