Send load probes within a hard budget

Cause: the load of an upstream that gets no requests is unknown, and measuring it must never cost more than the agreed budget.

Change: a token bucket of one token, filled at the node's share of the fleet's budget on a monotonic clock, starts empty and is charged when a probe is sent, whether or not it is answered. A change of the rate credits the past at the lower rate. The target of which nothing was known or asked for the longest goes first. The duration is a Histogram: the ticker goroutine of a go-metrics Timer or Meter keeps a synctest bubble from ending.

Conclusion: in all recorded histories each window of length T holds at most rate*T + 1 sends.

--- /dev/null
+++ b/pkg/probing/probing_test.go
@@ -0,0 +1,279 @@
+package probing
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
+	"github.com/mulberrytray/mulberrytray/pkg/intent"
+)
+
+// recorder is a prober that keeps the history of sends.
+type recorder struct {
+	hangs bool
+	start time.Time
+
+	mu          sync.Mutex
+	sends       []time.Duration
+	to          map[string]int
+	outstanding map[string]int
+	doubled     bool
+}
+
+func newRecorder(hangs bool) *recorder {
+	return &recorder{hangs: hangs, start: time.Now(), to: map[string]int{}, outstanding: map[string]int{}}
+}
+
+// ProbeLoad implements Prober.
+func (r *recorder) ProbeLoad(ctx context.Context, address string, _ *pb.ProbeLoadRequest) (*pb.ProbeLoadResponse, error) {
+	r.mu.Lock()
+	r.sends = append(r.sends, time.Since(r.start))
+	r.to[address]++
+	r.outstanding[address]++
+	r.doubled = r.doubled || r.outstanding[address] > 1
+	r.mu.Unlock()
+	if r.hangs {
+		<-ctx.Done()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outstanding[address]--
+	return &pb.ProbeLoadResponse{Load: &pb.Load{InFlight: 1}}, ctx.Err()
+}
+
+// schedule gives the rate in force at a time.
+type schedule func(at time.Duration) float64
+
+func constant(rate float64) schedule { return func(time.Duration) float64 { return rate } }
+
+// alternating changes between two rates each period.
+func alternating(a, b float64, period time.Duration) schedule {
+	return func(at time.Duration) float64 {
+		if at/period%2 == 0 {
+			return a
+		}
+		return b
+	}
+}
+
+// step is the resolution of allowance; rates change at multiples of it only.
+const step = 10 * time.Millisecond
+
+// allowance returns the probes that the schedule grants until each send.
+func (s schedule) allowance(sends []time.Duration) []float64 {
+	out := make([]float64, len(sends))
+	sum, at := 0.0, time.Duration(0)
+	for i, send := range sends {
+		for ; at+step <= send; at += step {
+			sum += s(at) * step.Seconds()
+		}
+		out[i] = sum + s(at)*(send-at).Seconds()
+	}
+	return out
+}
+
+// check fails if any window of the history holds more than its share and one probe.
+// A window from send i to send j holds j-i+1 probes, so that the number of a send
+// less what was granted until then must never rise above an earlier value.
+func (r *recorder) check(t *testing.T, rate schedule) {
+	t.Helper()
+	const rounding = 1e-4
+	lowest, first := math.Inf(1), time.Duration(0)
+	for i, granted := range rate.allowance(r.sends) {
+		excess := float64(i) - granted
+		if excess > lowest+rounding {
+			t.Fatalf("%v probes beyond the budget from %v to %v", excess-lowest, first, r.sends[i])
+		}
+		if excess < lowest {
+			lowest, first = excess, r.sends[i]
+		}
+	}
+	if r.doubled {
+		t.Error("two probes outstanding at one upstream")
+	}
+}
+
+func targets(n int) []Target {
+	out := make([]Target, n)
+	for i := range out {
+		out[i] = Target{NodeID: fmt.Sprint(i), Address: fmt.Sprint(i)}
+	}
+	return out
+}
+
+func always(n int) func(time.Duration) []Target {
+	all := targets(n)
+	return func(time.Duration) []Target { return all }
+}
+
+// between reports whether a one-time pause is due.
+func between(at, from time.Duration) bool { return at > from && at < from+time.Second }
+
+// Guards against probes beyond the budget: in a flood of targets, without
+// answers, when many upstreams join at once, after the process was frozen, and
+// after a change of the intent.
+func TestBudget(t *testing.T) {
+	hundred := targets(100)
+	for _, tc := range []struct {
+		desc    string
+		hangs   bool
+		rate    schedule
+		targets func(elapsed time.Duration) []Target
+		least   int
+	}{
+		{"flood", false, constant(20), always(300), 2300},
+		{"never answers", true, constant(20), always(1), 200},
+		{"many never answer", true, constant(20), always(300), 2300},
+		{"100 join at once", false, constant(20), func(e time.Duration) []Target {
+			if e < 30*time.Second {
+				return nil
+			}
+			return hundred
+		}, 1700},
+		{"frozen", false, constant(20), func(e time.Duration) []Target {
+			if between(e, 10*time.Second) {
+				time.Sleep(time.Minute)
+			}
+			return hundred
+		}, 1100},
+		{"frozen before a send", false, func(e time.Duration) float64 {
+			if between(e, 10*time.Second) {
+				time.Sleep(time.Minute)
+			}
+			return 20
+		}, always(100), 1100},
+		{"rate changes", false, alternating(0.5, 20, 330*time.Millisecond), always(100), 200},
+		{"rate rises after long", false, alternating(0.01, 20, 30*time.Second), always(100), 1100},
+		{"rate of zero", false, alternating(20, 0, 30*time.Second), always(100), 1100},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+				defer cancel()
+				p := newRecorder(tc.hangs)
+				New(Config{
+					Rate:    func() float64 { return tc.rate(time.Since(p.start)) },
+					Targets: func() []Target { return tc.targets(time.Since(p.start)) },
+					Report:  func(Target, *pb.Load) {},
+				}, p).Run(ctx)
+				p.check(t, tc.rate)
+				if len(p.sends) < tc.least {
+					t.Errorf("%d probes, want at least %d: the budget is not used", len(p.sends), tc.least)
+				}
+			})
+		})
+	}
+}
+
+// Guards against probes after a jump of the clock and against a token for a rate
+// that was not in force.
+func TestBucket(t *testing.T) {
+	type refill struct {
+		at   time.Duration
+		rate float64
+	}
+	for _, tc := range []struct {
+		desc    string
+		refills []refill
+		want    float64
+	}{
+		{"jump forward", []refill{{0, 1}, {time.Hour, 1}}, 1},
+		{"jump back", []refill{{time.Hour, 1}, {0, 1}}, 0},
+		{"rise seen late", []refill{{0, 0}, {time.Second, 100}}, 0},
+		{"fall seen late", []refill{{0, 1}, {time.Second, 0.25}}, 0.25},
+		{"part of a token", []refill{{0, 1}, {time.Second / 2, 1}}, 0.5},
+	} {
+		b := bucket{last: tc.refills[0].at}
+		for _, f := range tc.refills {
+			b.refill(f.at, f.rate)
+		}
+		if math.Abs(b.tokens-tc.want) > 1e-9 {
+			t.Errorf("%s: %v tokens, want %v", tc.desc, b.tokens, tc.want)
+		}
+	}
+}
+
+// Guards against two probes in a row when the process is frozen between the
+// decision to send and the send.
+func TestFrozenBeforeSpend(t *testing.T) {
+	b := bucket{}
+	b.refill(0, 1)
+	b.refill(time.Second, 1)
+	b.spend(time.Minute)
+	b.refill(time.Minute, 1)
+	if got := b.wait(time.Hour); got != time.Second {
+		t.Errorf("next probe after %v, want %v", got, time.Second)
+	}
+}
+
+// Guards against an upstream that never answers taking the turns of others, and
+// against probes of known upstreams while nothing is known of others.
+func TestOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		known := func(id string, age time.Duration) Target { return Target{NodeID: id, Known: now.Add(-age)} }
+		in := []Target{known("new", time.Second), known("old", time.Minute), {NodeID: "none"}}
+		q := newQueue()
+		for _, want := range []string{"none", "old", "new", "none", "old", "new"} {
+			got, ok := q.next(in)
+			if !ok || got.NodeID != want {
+				t.Fatalf("got %q, want %q", got.NodeID, want)
+			}
+			q.release(got)
+			time.Sleep(time.Millisecond)
+		}
+	})
+}
+
+// Guards against costs that the metrics don't show, such as unanswered probes.
+func TestMetrics(t *testing.T) {
+	for _, tc := range []struct {
+		desc  string
+		hangs bool
+	}{{"answered", false}, {"never answered", true}} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			p, reg, reports := newRecorder(tc.hangs), metrics.NewRegistry(), int64(0)
+			New(Config{
+				Rate: func() float64 { return 1 }, Targets: func() []Target { return targets(1) },
+				Report: func(Target, *pb.Load) { reports++ }, Registry: reg,
+			}, p).Run(ctx)
+			sent := reg.Get("probing.sent").(metrics.Counter).Count()
+			failed := reg.Get("probing.failed").(metrics.Counter).Count()
+			// The request has no bytes without an incarnation; the answer has four.
+			bytes := reg.Get("probing.bytes").(metrics.Counter).Count()
+			timed := reg.Get("probing.duration").(metrics.Histogram).Count()
+			if n := int64(len(p.sends)); n == 0 || sent != n || timed != n || failed+reports != n || bytes != 4*reports {
+				t.Errorf("%s: %d probes, %d sent, %d failed, %d reports, %d bytes", tc.desc, n, sent, failed, reports, bytes)
+			}
+			if got := failed > 0; got != tc.hangs {
+				t.Errorf("%s: %d failed", tc.desc, failed)
+			}
+		})
+	}
+}
+
+// Guards against probes without a budget.
+func TestRate(t *testing.T) {
+	for _, tc := range []struct {
+		desc string
+		in   intent.Probing
+		want float64
+	}{
+		{"share", intent.Probing{FleetProbesPerSecond: 100, MaxNodes: 50}, 2},
+		{"no nodes", intent.Probing{FleetProbesPerSecond: 100}, 0},
+		{"no probes", intent.Probing{MaxNodes: 50}, 0},
+	} {
+		if got := Rate(tc.in); got != tc.want {
+			t.Errorf("%s: got %v, want %v", tc.desc, got, tc.want)
+		}
+	}
+}
