--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -150,6 +150,7 @@
 	n.goDo(func() { n.refreshSelf(ctx) })
 	n.goDo(func() { n.gossipQuarantine(ctx) })
 	n.goDo(func() { n.followDrain(ctx) })
+	n.goDo(func() { n.probeLoads(ctx) })
 	if err := n.lifecycle.Event(ctx, eventServe); err != nil {
 		return fmt.Errorf("node: %w", err)
 	}
