Keep targets for short service times and end proposals that are refused

Cause: mtload added with a service time of 1 ms scaled the targets below the network's delay; the intent was refused and the tool proposed it forever.

Change: targets are scaled up only, and a refused intent ends the launcher.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -203,11 +203,16 @@
 func (f *Fleet) PutIntent(ctx context.Context, intentYAML, operator string) (Confirmed, error) {
 	op := f.Instances[0].Operator()
 	var proposal *connect.Response[pb.ProposeResponse]
+	var refused error
 	err := WaitFor(ctx, func() (err error) {
 		proposal, err = op.Propose(ctx, connect.NewRequest(&pb.ProposeRequest{IntentYaml: intentYAML, Operator: operator}))
+		if connect.CodeOf(err) == connect.CodeInvalidArgument {
+			refused = err
+			return nil
+		}
 		return err
 	})
-	if err != nil {
+	if err = errors.Join(err, refused); err != nil {
 		return Confirmed{}, fmt.Errorf("propose: %w", err)
 	}
 	begin := time.Now()
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -249,8 +249,10 @@
 // baseServiceTime is the service time that the intents' targets are meant for.
 const baseServiceTime = 20 * time.Millisecond
 
-// scaleTargets adapts the targets to another service time.
+// scaleTargets adapts the targets to a longer service time. Shorter ones keep the
+// targets, which must not be below the network's delay.
 func scaleTargets(in *intent.Intent, service time.Duration) (string, error) {
+	service = max(service, baseServiceTime)
 	for i := range in.Ranks {
 		in.Ranks[i].TargetMs = int(float64(in.Ranks[i].TargetMs) * float64(service) / float64(baseServiceTime))
 	}
