Give a recovered upstream work again, and use one rule for names

The last reported service time never aged, the sidecar reported it for ever, and one answer after idle time restored most of the old latency and failures.

Ruled out: an open breaker and a leaked in-flight count (both zero in a trace of the picker).

--- a/internal/prove/caller.go
+++ b/internal/prove/caller.go
@@ -121,7 +121,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	var conn httptrace.GotConnInfo
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { conn = i }})
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) { conn, connected = i, true },
+	})
 	req, err := http.NewRequestWithContext(ctx, op.method, c.entry()+op.path(), bytes.NewReader(op.body))
 	if err != nil {
 		s.Err = err.Error()
@@ -146,8 +149,8 @@
 	resp, err := c.client.Do(req)
 	if err != nil {
 		s.Err = fmt.Sprintf("%v (connection reused %v, idle %v)", err, conn.Reused, conn.IdleTime)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			// Nobody listens there, so nothing was sent.
+		if errors.Is(err, syscall.ECONNREFUSED) && !connected {
+			// Nobody listens there, and no earlier connection was used, so nothing was sent.
 			s.Outcome = outcome.NotRun
 		}
 		return
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -23,6 +23,11 @@
 // warmUpTime is how long the slots of a cold upstream grow to their full number.
 const warmUpTime = 10 * time.Second
 
+// serviceMemory is how long the service time of an idle upstream is reported. An
+// upstream that was slow and lost its work would otherwise report that for ever,
+// and never get work again.
+const serviceMemory = 2 * time.Second
+
 // minRetry is the shortest suggested delay before another attempt.
 const minRetry = 10 * time.Millisecond
 
@@ -48,7 +53,7 @@
 	Queued   int
 	// Slots that may be in use now, less than announced during warm-up.
 	Slots int
-	// Service is the EWMA of the service time.
+	// Service is the EWMA of the service time; 0 if nothing ran lately.
 	Service time.Duration
 }
 
@@ -65,6 +70,7 @@
 	waiting  int
 	seq      uint64
 	service  time.Duration
+	observed time.Time
 	start    time.Time
 	draining bool
 }
@@ -154,7 +160,12 @@
 func (c *Controller) Stats() Stats {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Stats{InFlight: c.running, Queued: c.waiting, Slots: c.limit(time.Now()), Service: c.service}
+	now := time.Now()
+	s := Stats{InFlight: c.running, Queued: c.waiting, Slots: c.limit(now), Service: c.service}
+	if c.running == 0 && now.Sub(c.observed) > serviceMemory {
+		s.Service = 0
+	}
+	return s
 }
 
 // Acquire takes a slot, waits for one, or returns a *Refusal. The release
@@ -277,6 +288,7 @@
 
 func (c *Controller) observe(r *rankState, service time.Duration) {
 	r.observe(service)
+	c.observed = time.Now()
 	if c.service == 0 {
 		c.service = service
 		return
--- a/pkg/idempotency/registry.go
+++ b/pkg/idempotency/registry.go
@@ -14,6 +14,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/ident"
 )
 
 // Defaults of Config.
@@ -113,7 +115,7 @@
 		cfg.Now = func() time.Duration { return time.Since(start) }
 	}
 	switch {
-	case !validName(cfg.NodeID):
+	case !ident.Valid(cfg.NodeID):
 		return nil, &ConfigError{"NodeID", "must be 1 to 64 bytes of [a-z0-9._-]"}
 	case cfg.TTL < time.Millisecond:
 		return nil, &ConfigError{"TTL", "must be at least 1 ms"}
@@ -137,7 +139,7 @@
 // returns a *LimitError if too many tokens are unexpired, and a *ConfigError if
 // the service name is invalid.
 func (r *Registry) Issue(service string) (string, time.Duration, error) {
-	if !validName(service) {
+	if !ident.Valid(service) {
 		return "", 0, &ConfigError{"service", "must be 1 to 64 bytes of [a-z0-9._-]"}
 	}
 	r.mu.Lock()
--- a/pkg/idempotency/token.go
+++ b/pkg/idempotency/token.go
@@ -7,6 +7,8 @@
 	"encoding/base64"
 	"encoding/binary"
 	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/ident"
 )
 
 const (
@@ -14,9 +16,7 @@
 	// nonceBytes keeps a token with two names of 64 bytes within MaxTokenLength.
 	nonceBytes = 12
 	macBytes   = sha256.Size
-	// maxNameBytes bounds the node id and the service name.
-	maxNameBytes = 64
-	fixedBytes   = 1 + 8 + 8 + nonceBytes + 1 + 1 + macBytes
+	fixedBytes = 1 + 8 + 8 + nonceBytes + 1 + 1 + macBytes
 
 	// MaxTokenLength is the length of the longest token in characters.
 	MaxTokenLength = 256
@@ -114,26 +114,12 @@
 		return "", nil, false
 	}
 	n := int(b[0])
-	if len(b) < 1+n || !validName(string(b[1:1+n])) {
+	if len(b) < 1+n || !ident.Valid(string(b[1:1+n])) {
 		return "", nil, false
 	}
 	return string(b[1 : 1+n]), b[1+n:], true
 }
 
-func validName(s string) bool {
-	if len(s) == 0 || len(s) > maxNameBytes {
-		return false
-	}
-	for i := range len(s) {
-		c := s[i]
-		letter := c >= 'a' && c <= 'z' || c >= '0' && c <= '9'
-		if !letter && c != '.' && c != '_' && c != '-' {
-			return false
-		}
-	}
-	return true
-}
-
 func newNonce() nonce {
 	var n nonce
 	_, _ = rand.Read(n[:]) // crypto/rand.Read never returns an error.
--- a/pkg/idempotency/token_test.go
+++ b/pkg/idempotency/token_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"github.com/mulberrytray/mulberrytray/pkg/ident"
 )
 
 func testToken(node, service string) token {
@@ -12,7 +14,7 @@
 // Guards against tokens that don't fit into the header, and against an ingress
 // that routes a token to the wrong node or takes a plain key for a token.
 func TestParse(t *testing.T) {
-	longest := strings.Repeat("x", maxNameBytes)
+	longest := strings.Repeat("x", ident.MaxBytes)
 	long := testToken(longest, longest)
 	short := testToken("n1", "kasse")
 	text := short.encode([]byte("secret"))
@@ -61,7 +63,7 @@
 		if bare := strings.TrimSuffix(strings.TrimPrefix(key, `"`), `"`); bare != text {
 			t.Fatalf("%q and %q are the same token", key, text)
 		}
-		if !validName(d.nodeID) || !validName(d.service) {
+		if !ident.Valid(d.nodeID) || !ident.Valid(d.service) {
 			t.Fatalf("names %q, %q", d.nodeID, d.service)
 		}
 	})
--- a/pkg/ingress/check.go
+++ b/pkg/ingress/check.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/mulberrytray/mulberrytray/pkg/ident"
 	"github.com/mulberrytray/mulberrytray/pkg/intent"
 	"github.com/mulberrytray/mulberrytray/pkg/outcome"
 )
@@ -16,7 +17,6 @@
 // Limits of what callers may send.
 const (
 	maxHeaderBytes    = 16 << 10
-	maxNameBytes      = 64
 	maxRequestIDBytes = 128
 	maxKeyBytes       = 256
 	maxTimeoutMs      = 300_000
@@ -138,7 +138,7 @@
 		name, _, _ = strings.Cut(r.Host, ".")
 	}
 	var ok bool
-	if !validName(name) {
+	if !ident.Valid(name) {
 		return badRequest(outcome.HeaderService, "must be at most 64 bytes of [a-z0-9._-]")
 	}
 	if c.service, ok = in.Service(name); !ok {
@@ -198,7 +198,7 @@
 		c.caller = host
 		return nil
 	}
-	if !validName(c.caller) {
+	if !ident.Valid(c.caller) {
 		return badRequest(outcome.HeaderCaller, "must be at most 64 bytes of [a-z0-9._-]")
 	}
 	return nil
@@ -255,19 +255,6 @@
 	return int(n), nil
 }
 
-func validName(s string) bool {
-	if s == "" || len(s) > maxNameBytes {
-		return false
-	}
-	for _, ch := range []byte(s) {
-		letter := ch >= 'a' && ch <= 'z' || ch >= '0' && ch <= '9'
-		if !letter && ch != '.' && ch != '_' && ch != '-' {
-			return false
-		}
-	}
-	return true
-}
-
 func visible(s string) bool {
 	for _, ch := range []byte(s) {
 		if ch <= ' ' || ch > '~' {
--- a/pkg/ingress/check_test.go
+++ b/pkg/ingress/check_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/mulberrytray/mulberrytray/pkg/ident"
 	"github.com/mulberrytray/mulberrytray/pkg/intent"
 	"github.com/mulberrytray/mulberrytray/pkg/outcome"
 )
@@ -111,7 +112,7 @@
 			return
 		}
 		inLimits := c.timeout >= time.Millisecond && c.timeout <= longestTimeout && c.depth >= 1 &&
-			c.depth <= maxDepth+1 && len(c.key) <= maxKeyBytes && len(c.caller) <= maxNameBytes &&
+			c.depth <= maxDepth+1 && len(c.key) <= maxKeyBytes && len(c.caller) <= ident.MaxBytes &&
 			len(c.id) <= maxRequestIDBytes && visible(c.id)
 		if !inLimits {
 			t.Errorf("accepted %+v", c)
--- a/pkg/intent/validate.go
+++ b/pkg/intent/validate.go
@@ -3,9 +3,10 @@
 import (
 	"fmt"
 	"math"
-	"regexp"
 
 	"go.yaml.in/yaml/v3"
+
+	"github.com/mulberrytray/mulberrytray/pkg/ident"
 )
 
 // Limits of an intent.
@@ -44,8 +45,6 @@
 	return fmt.Sprintf("intent: line %d: %s: %s", e.Line, e.Rule, e.Detail)
 }
 
-var validName = regexp.MustCompile(`^[a-z0-9._-]{1,64}$`)
-
 // validator reports the first broken rule of an intent.
 type validator struct {
 	in   *Intent
@@ -100,7 +99,7 @@
 }
 
 func (v *validator) name(name string, seen map[string]bool, path ...any) error {
-	if !validName.MatchString(name) {
+	if !ident.Valid(name) {
 		return v.fail(RuleName, path, "%q is not 1 to 64 characters of a-z, 0-9, '.', '_' and '-'", name)
 	}
 	if seen[name] {
--- a/pkg/node/order.go
+++ b/pkg/node/order.go
@@ -31,7 +31,7 @@
 
 // deliverOrder makes the target read the log up to the offset and apply its order.
 // The log stays the only source of orders: the call only shortens the wait until
-// the target's next poll, which takes up to 100 s in a fleet of 1,600 nodes.
+// the target's next poll, which takes up to about 125 s in a fleet of 1,600 nodes.
 func (n *Node) deliverOrder(ctx context.Context, nodeID string, nextOffset uint64) error {
 	if nodeID == n.settings.NodeID {
 		n.applyOrder()
--- a/pkg/node/validate.go
+++ b/pkg/node/validate.go
@@ -4,17 +4,16 @@
 	"fmt"
 	"net/netip"
 	"net/url"
-	"regexp"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/ident"
 )
 
-// nameRule describes what namePattern matches: the names allowed in headers.
+// nameRule describes what ident.Valid accepts.
 const nameRule = "1 to 64 characters of a-z, 0-9, '.', '_' and '-'"
 
-var namePattern = regexp.MustCompile(`^[a-z0-9._-]{1,64}$`)
-
 var (
 	logFormats = []string{"text", "json"}
 	logLevels  = []string{"debug", "info", "warn", "error"}
@@ -36,7 +35,7 @@
 	for _, n := range []struct{ name, value string }{
 		{"node-id", s.NodeID}, {"region", s.Region}, {"failure-domain", s.FailureDomain},
 	} {
-		if !namePattern.MatchString(n.value) {
+		if !ident.Valid(n.value) {
 			return &SettingError{n.name, n.value, nameRule}
 		}
 	}
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -173,11 +173,11 @@
 }
 
 func (p *Picker) observe(now time.Duration, u *upstream, latency time.Duration) {
-	u.observe(now, latency)
 	usual, known := p.usual[u.service]
 	if !known {
 		usual = latency
 	}
+	u.observe(now, latency, usual)
 	p.usual[u.service] = ewma(usual, latency)
 }
 
@@ -271,7 +271,7 @@
 		u.breaker.abandon(s.Trial)
 	case Abandoned:
 		if latency := now - s.start; !answered && latency > u.latency {
-			u.observe(now, latency)
+			u.observe(now, latency, u.latency)
 		}
 		u.breaker.abandon(s.Trial)
 	}
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -211,6 +211,41 @@
 	}
 }
 
+// Guards against an upstream that gets no work for ever after it was slow or
+// failed, since nothing refreshes what is known of it.
+func TestRecoveredUpstreamGetsWork(t *testing.T) {
+	report := func(latency time.Duration, status int) server {
+		return server{latency: latency, status: status, load: &pb.Load{Slots: 10, ServiceTimeUs: uint32(latency.Microseconds())}}
+	}
+	good := report(5*time.Millisecond, http.StatusOK)
+	for _, tt := range []struct {
+		desc string
+		bad  server
+	}{
+		{"slow", report(100*time.Millisecond, http.StatusOK)},
+		{"failing", report(100*time.Microsecond, http.StatusInternalServerError)},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, c := NewPicker(Config{}), fleet(4)
+				healthy := func(string) server { return good }
+				drive(p, c, 1000, time.Millisecond, healthy)
+				drive(p, c, 2000, time.Millisecond, func(id string) server {
+					if id == "n00" {
+						return tt.bad
+					}
+					return good
+				})
+				drive(p, c, 20000, time.Millisecond, healthy)
+				share := drive(p, c, 1000, time.Millisecond, healthy)["n00"]
+				if share < 0.125 {
+					t.Errorf("share %.3f after 20 s, want at least half of the fair 0.25", share)
+				}
+			})
+		})
+	}
+}
+
 func BenchmarkPick(b *testing.B) {
 	p, c := NewPicker(Config{}), fleet(36)
 	b.ReportAllocs()
--- a/pkg/routing/upstream.go
+++ b/pkg/routing/upstream.go
@@ -13,8 +13,9 @@
 	// latencyGain is the share of a new sample in the moving averages.
 	latencyGain = 0.2
 	// forgetAfter is the time constant with which an idle upstream's latency and
-	// failures lose weight, so that it is tried again.
-	forgetAfter = 5 * time.Second
+	// failures lose weight, so that it is tried again. After 5 s a recovered
+	// upstream got no work for more than 20 s.
+	forgetAfter = 2 * time.Second
 	// reportHalfLife is the age at which a load report counts half. Load shifts
 	// within milliseconds.
 	reportHalfLife = 50 * time.Millisecond
@@ -68,22 +69,30 @@
 	}
 }
 
-func (u *upstream) observe(now, latency time.Duration) {
+// observe adds a sample. What faded while the upstream was idle stays faded: one
+// good answer of a recovered upstream would otherwise restore most of its old latency.
+func (u *upstream) observe(now, latency, prior time.Duration) {
 	if u.samples == 0 {
 		u.latency = latency
 	} else {
-		u.latency = ewma(u.latency, latency)
+		u.latency = ewma(u.faded(now, prior), latency)
 	}
 	u.samples++
-	u.failures *= 1 - latencyGain
+	u.failures = u.fadedFailures(now) * (1 - latencyGain)
 	u.lastDone = now
 }
 
 func (u *upstream) observeFailure(now time.Duration) {
-	u.failures += latencyGain * (1 - u.failures)
+	faded := u.fadedFailures(now)
+	u.failures = faded + latencyGain*(1-faded)
 	u.lastDone = now
 }
 
+// fadedFailures returns the share of failures, faded since the last answer.
+func (u *upstream) fadedFailures(now time.Duration) float64 {
+	return u.failures * math.Exp(-float64(now-u.lastDone)/float64(forgetAfter))
+}
+
 func ewma(old, sample time.Duration) time.Duration {
 	return old + time.Duration(latencyGain*float64(sample-old))
 }
@@ -98,10 +107,16 @@
 	if u.samples == 0 {
 		return prior
 	}
-	weight := 1.0
-	if u.inFlight == 0 {
-		weight = math.Exp(-float64(now-u.lastDone) / float64(forgetAfter))
+	if u.inFlight > 0 {
+		return u.latency
 	}
+	return u.faded(now, prior)
+}
+
+// faded returns the observed latency, moved to the prior by the time since the
+// last answer.
+func (u *upstream) faded(now, prior time.Duration) time.Duration {
+	weight := math.Exp(-float64(now-u.lastDone) / float64(forgetAfter))
 	return prior + time.Duration(weight*float64(u.latency-prior))
 }
 
@@ -125,18 +140,26 @@
 	return max(0, float64(total-u.ownAtReport)) * math.Exp2(-age)
 }
 
+// reportedLatency is the service time of the last report. It fades with the
+// report's age, so that an upstream that recovered while it got no work is tried again.
+func (u *upstream) reportedLatency(now time.Duration) time.Duration {
+	if u.report == nil {
+		return 0
+	}
+	weight := math.Exp(-float64(now-u.reported) / float64(forgetAfter))
+	return time.Duration(weight * float64(u.report.ServiceTimeUs) * float64(time.Microsecond))
+}
+
 // cost is the expected time of a request at the upstream, with penalties.
 // What was observed counts more than what was reported: a report of an idle
 // upstream lowers only the term for queueing, never the observed latency.
 func (u *upstream) cost(now time.Duration, c Candidate, prior time.Duration) time.Duration {
 	latency := u.effectiveLatency(now, prior)
-	if u.report != nil {
-		latency = max(latency, time.Duration(u.report.ServiceTimeUs)*time.Microsecond)
-	}
+	latency = max(latency, u.reportedLatency(now))
 	latency += u.overdue(now, latency)
 	busy := (float64(u.inFlight) + u.others(now)) / float64(max(1, c.Slots))
 	cost := float64(latency) * (1 + busy)
-	cost += u.failures * math.Exp(-float64(now-u.lastDone)/float64(forgetAfter)) * float64(failurePenalty)
+	cost += u.fadedFailures(now) * float64(failurePenalty)
 	return time.Duration(cost * u.ramp(now, c))
 }
 
--- a/pkg/sidecar/announce.go
+++ b/pkg/sidecar/announce.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mulberrytray/mulberrytray/pkg/event"
+	"github.com/mulberrytray/mulberrytray/pkg/ident"
 	"github.com/mulberrytray/mulberrytray/pkg/outcome"
 )
 
@@ -61,24 +62,22 @@
 	return fmt.Sprintf("sidecar: %s must be %s", e.Field, e.Rule)
 }
 
-const nameRule = "1 to 64 bytes of [a-z0-9._-]"
-
 // Validate returns a *FieldError for the first invalid field.
 func (a Announcement) Validate() error {
 	address, err := netip.ParseAddrPort(a.Address)
 	switch {
-	case !validName(a.Service):
-		return &FieldError{"service", nameRule}
+	case !ident.Valid(a.Service):
+		return &FieldError{"service", ident.Rule}
 	case err != nil || address.Port() == 0 || address.Addr().IsUnspecified():
 		return &FieldError{"address", "an IP:port"}
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return &FieldError{"slots", fmt.Sprintf("1 to %d", maxSlots)}
-	case !validName(a.Incarnation):
-		return &FieldError{"incarnation", nameRule}
+	case !ident.Valid(a.Incarnation):
+		return &FieldError{"incarnation", ident.Rule}
 	case a.State != StateWarming && a.State != StateReady && a.State != StateDraining:
 		return &FieldError{"state", "warming, ready or draining"}
-	case a.Nonce != "" && !validName(a.Nonce):
-		return &FieldError{"nonce", "empty or " + nameRule}
+	case a.Nonce != "" && !ident.Valid(a.Nonce):
+		return &FieldError{"nonce", "empty or " + ident.Rule}
 	}
 	return nil
 }
--- a/pkg/sidecar/forwarded.go
+++ b/pkg/sidecar/forwarded.go
@@ -6,17 +6,16 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
 
+	"github.com/mulberrytray/mulberrytray/pkg/ident"
 	"github.com/mulberrytray/mulberrytray/pkg/outcome"
 )
 
 // Limits of the headers of a forwarded request.
 const (
-	maxNameBytes        = 64
 	maxRequestIDBytes   = 128
 	maxFingerprintBytes = 128
 	maxDepth            = 26
@@ -73,10 +72,10 @@
 		f.requestID = uuid.NewString()
 	}
 	switch {
-	case !validName(f.rank):
-		return f, &FieldError{outcome.HeaderRank, nameRule}
-	case f.caller != "" && !validName(f.caller) && !validIP(f.caller):
-		return f, &FieldError{outcome.HeaderCaller, nameRule + " or an IP address"}
+	case !ident.Valid(f.rank):
+		return f, &FieldError{outcome.HeaderRank, ident.Rule}
+	case f.caller != "" && !ident.Valid(f.caller) && !validIP(f.caller):
+		return f, &FieldError{outcome.HeaderCaller, ident.Rule + " or an IP address"}
 	case len(f.requestID) > maxRequestIDBytes:
 		return f, &FieldError{outcome.HeaderRequestID, "at most 128 bytes"}
 	case len(h.Get(outcome.HeaderFingerprint)) > maxFingerprintBytes:
@@ -123,13 +122,9 @@
 	return int64(n), err
 }
 
-func validName(s string) bool {
-	return s != "" && len(s) <= maxNameBytes && strings.TrimLeft(s, "abcdefghijklmnopqrstuvwxyz0123456789._-") == ""
-}
-
 func validIP(s string) bool {
 	_, err := netip.ParseAddr(s)
-	return err == nil && len(s) <= maxNameBytes
+	return err == nil && len(s) <= ident.MaxBytes
 }
 
 func asError[T error](err error, target *T) bool { return errors.As(err, target) }
--- a/pkg/sidecar/forwarded_test.go
+++ b/pkg/sidecar/forwarded_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"testing"
 
+	"github.com/mulberrytray/mulberrytray/pkg/ident"
 	"github.com/mulberrytray/mulberrytray/pkg/outcome"
 )
 
@@ -28,7 +29,7 @@
 			}
 			return
 		}
-		if !validName(got.rank) || len(got.caller) > maxNameBytes || len(got.requestID) > maxRequestIDBytes ||
+		if !ident.Valid(got.rank) || len(got.caller) > ident.MaxBytes || len(got.requestID) > maxRequestIDBytes ||
 			got.timeout <= 0 || got.timeout > maxTimeout || got.depth < 0 || got.depth > maxDepth {
 			t.Errorf("accepted %+v", got)
 		}
