Send a request elsewhere when the upstream is gone

The sidecar proved that nothing was run (its dial was refused), but the ingress did not ask another one, and the quick refusals attracted work until the lease lapsed.

Change: upstream-failed with the outcome not-run is sent elsewhere and counts as a failure of the upstream.

TestUnreachableUpstreamIsAvoided fails before and passes after.

A few calls still end with lease-lapsed after a kill.

--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -184,8 +184,9 @@
 	switch o := outcome.Outcome(resp.Header.Get(outcome.HeaderOutcome)); o {
 	case outcome.NotRun:
 		a.isolate = resp.Header.Get(outcome.HeaderIsolate)
-		a.send.Done(routing.Refused, reportedLoad(resp))
-		return sidecarProblem(resp, o)
+		p := sidecarProblem(resp, o)
+		a.send.Done(refusalVerdict(p.Reason), reportedLoad(resp))
+		return p
 	case outcome.Unknown:
 		p := sidecarProblem(resp, o)
 		a.send.Done(unknownVerdict(p.Reason), reportedLoad(resp))
@@ -212,6 +213,15 @@
 	return outcome.New(http.StatusBadGateway, outcome.ReasonInvalidAnswer, outcome.Unknown, detail)
 }
 
+// refusalVerdict counts an upstream that can't be reached as failed, although the
+// request was not run: its quick refusals would attract work.
+func refusalVerdict(r outcome.Reason) routing.Verdict {
+	if r == outcome.ReasonUpstreamFailed {
+		return routing.Failed
+	}
+	return routing.Refused
+}
+
 func unknownVerdict(r outcome.Reason) routing.Verdict {
 	switch r {
 	case outcome.ReasonUpstreamFailed, outcome.ReasonUpstreamCrashed, outcome.ReasonInvalidAnswer:
--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -337,3 +337,14 @@
 		t.Errorf("%d sends, want a retry after the first", sends.Load())
 	}
 }
+
+// Guards against callers that pay for an upstream that is gone while others are
+// ready: the sidecar proves that the request was not run.
+func TestUnreachableUpstreamIsAvoided(t *testing.T) {
+	f := newFixture(t, refusing(outcome.ReasonUpstreamFailed), ran)
+	for range 10 {
+		if resp := f.do("POST", "/", "body"); resp.StatusCode != http.StatusOK {
+			t.Fatalf("status %d, reason %s", resp.StatusCode, resp.Header.Get(outcome.HeaderReason))
+		}
+	}
+}
--- a/pkg/ingress/route.go
+++ b/pkg/ingress/route.go
@@ -138,7 +138,8 @@
 	switch a.problem.Reason {
 	case outcome.ReasonBusy:
 		rt.busy[id] = true
-	case outcome.ReasonDraining, outcome.ReasonLeaseLapsed, outcome.ReasonIncarnation, outcome.ReasonNodeUnreachable:
+	case outcome.ReasonDraining, outcome.ReasonLeaseLapsed, outcome.ReasonIncarnation, outcome.ReasonNodeUnreachable,
+		outcome.ReasonUpstreamFailed:
 		rt.tried[id] = true
 	case outcome.ReasonQuarantined:
 		if a.isolate == "" {
