--- a/pkg/membership/contact.go
+++ b/pkg/membership/contact.go
@@ -41,9 +41,12 @@
 func (a *Agent) RunContacts(ctx context.Context, peers []string, find func(context.Context) []string) {
 	start := time.Now()
 	for attempt, refusals := 0, 0; ctx.Err() == nil; attempt++ {
-		unknown := a.unknown(find(ctx))
+		found := find(ctx)
+		unknown := a.unknown(found)
 		if a.Size() > 1 {
-			a.contactOne(ctx, unknown)
+			// The peers of the settings too: while the log is down, a node that joined
+			// through one of them may be in a group that does not know the others.
+			a.contactOne(ctx, a.unknown(append(found, peers...)))
 			sleep(ctx, jitter(a.lookEvery(time.Since(start))))
 			continue
 		}
