--- a/pkg/routing/upstream.go
+++ b/pkg/routing/upstream.go
@@ -13,8 +13,8 @@
 	// latencyGain is the share of a new sample in the moving averages.
 	latencyGain = 0.2
 	// forgetAfter is the time constant with which an idle upstream's latency and
-	// failures lose weight, so that it is tried again. After 5 s a recovered
-	// upstream got no work for more than 20 s.
+	// failures lose weight, so that it is tried again. It is
+	// short, so that a recovered upstream gets work within 20 s.
 	forgetAfter = 2 * time.Second
 	// reportHalfLife is the age at which a load report counts half. Load shifts
 	// within milliseconds.
