Add the node for the users' platform: routes, gate, placement, gossip and the adapter

Change: pkg/mesh runs one node beside each upstream; platform/ decodes settings, headers, heartbeats and configuration.

--- /dev/null
+++ b/cmd/mtmesh/main.go
@@ -0,0 +1,76 @@
+// Command mtmesh runs the node beside an upstream on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mulberrytray/mulberrytray/pkg/event"
+	"github.com/mulberrytray/mulberrytray/pkg/mesh"
+	"github.com/mulberrytray/mulberrytray/platform"
+)
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "mtmesh:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	var path, format, level string
+	var check bool
+	return &cli.Command{
+		Name:  "mtmesh",
+		Usage: "run the node beside an upstream on the users' platform",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "path of the platform's settings file", Sources: cli.EnvVars(platform.SettingsVariable), Required: true, Destination: &path},
+			&cli.StringFlag{Name: "log-format", Usage: "text or json", Value: "json", Sources: cli.EnvVars("MTMESH_LOG_FORMAT"), Destination: &format},
+			&cli.StringFlag{Name: "log-level", Usage: "least severity of the events written: debug, info, warn or error", Value: "info", Sources: cli.EnvVars("MTMESH_LOG_LEVEL"), Destination: &level},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit", Destination: &check},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := platform.ReadSettings(path)
+			if err != nil {
+				return err
+			}
+			if check {
+				_, err := fmt.Fprintln(c.Root().Writer, "all settings are valid")
+				return err
+			}
+			severity, err := log.ParseLevel(level)
+			if err != nil {
+				return fmt.Errorf("log level: %w", err)
+			}
+			return run(ctx, s, event.Format(format), severity)
+		},
+	}
+}
+
+func run(ctx context.Context, s platform.Settings, format event.Format, level log.Level) error {
+	out := event.NewAsyncWriter(os.Stdout)
+	defer out.Close()
+	events := event.NewLogger(out, format, level)
+	store := platform.NewStore(s.Store)
+	node, err := mesh.New(s.Node, mesh.Ports{
+		Names: platform.Names(), Configs: store, Registry: store,
+		Announcements: platform.Announcements(s, events), Events: events, Dropped: out.Dropped,
+	})
+	if err != nil {
+		return err
+	}
+	if err := node.Provision(); err != nil {
+		events.Emit(event.NodeFailed, event.Fields{"error": err.Error()})
+		return err
+	}
+	signal.Ignore(syscall.SIGPIPE, syscall.SIGHUP)
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	return node.Run(ctx)
+}
--- /dev/null
+++ b/pkg/announce/announce_test.go
@@ -0,0 +1,48 @@
+package announce
+
+import "testing"
+
+func TestTrackerOrdersByStartAndSequence(t *testing.T) {
+	ready := Announcement{ID: "a", State: Ready, Slots: 4, Born: 100, Sequence: 5}
+	tests := []struct {
+		desc  string
+		next  Announcement
+		want  Verdict
+		state State
+	}{
+		{"same state, later sequence", Announcement{ID: "a", State: Ready, Slots: 4, Born: 100, Sequence: 6}, Same, Ready},
+		{"repeated announcement", ready, Stale, Ready},
+		{"late draining of an earlier start", Announcement{ID: "z", State: Draining, Slots: 4, Born: 99, Sequence: 50}, Stale, Ready},
+		{"draining", Announcement{ID: "a", State: Draining, Slots: 4, Born: 100, Sequence: 6}, Changed, Draining},
+		{"restart under the same id", Announcement{ID: "a", State: Ready, Slots: 4, Born: 101, Sequence: 1}, Changed, Ready},
+		{"another id with the same start", Announcement{ID: "b", State: Draining, Slots: 4, Born: 100, Sequence: 9}, Stale, Ready},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			var tr Tracker
+			tr.Observe(ready)
+			if got := tr.Observe(tt.next); got != tt.want {
+				t.Errorf("verdict %v, want %v", got, tt.want)
+			}
+			if got := tr.Current().State; got != tt.state {
+				t.Errorf("state %v, want %v", got, tt.state)
+			}
+		})
+	}
+}
+
+// A delayed announcement of "ready" must not bring back an upstream that ended.
+func TestGoneIsFinalForOneStart(t *testing.T) {
+	var tr Tracker
+	tr.Observe(Announcement{ID: "a", State: Ready, Slots: 4, Born: 100, Sequence: 5})
+	tr.Leave("a", 100)
+	if got := tr.Observe(Announcement{ID: "a", State: Ready, Slots: 4, Born: 100, Sequence: 6}); got != Stale {
+		t.Errorf("verdict %v, want stale", got)
+	}
+	if got := tr.Observe(Announcement{ID: "b", State: Ready, Slots: 4, Born: 101, Sequence: 1}); got != Changed {
+		t.Errorf("verdict %v, want changed", got)
+	}
+	if got := tr.Leave("a", 100); got != Stale {
+		t.Errorf("late end of the earlier start: verdict %v, want stale", got)
+	}
+}
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -30,6 +30,7 @@
 	MemberDead     = Event{1203, log.WarnLevel, "member dead"}
 	MemberLeft     = Event{1204, log.InfoLevel, "member left"}
 	MemberReplaced = Event{1205, log.InfoLevel, "member replaced by a new incarnation"}
+	MemberAltered  = Event{1206, log.InfoLevel, "member or its upstream changed state"}
 )
 
 // Events of the sidecar, 1300 to 1399.
@@ -42,3 +43,27 @@
 	RequestBlocked    = Event{1306, log.ErrorLevel, "request blocked after crashing upstreams"}
 	RequestCleared    = Event{1307, log.InfoLevel, "suspect request cleared"}
 )
+
+// Events of requests, 1400 to 1499.
+var (
+	RequestEnded       = Event{1401, log.InfoLevel, "request answered"}
+	RequestFailed      = Event{1402, log.WarnLevel, "request refused or failed"}
+	RequestRejected    = Event{1403, log.WarnLevel, "request rejected"}
+	AnswerNotDelivered = Event{1404, log.WarnLevel, "answer not delivered"}
+	LinesDropped       = Event{1405, log.WarnLevel, "log lines dropped"}
+)
+
+// Events of the announcements and of the mesh, 1500 to 1599.
+var (
+	AnnouncementStale   = Event{1501, log.InfoLevel, "late announcement ignored"}
+	AnnouncementInvalid = Event{1502, log.WarnLevel, "invalid announcement refused"}
+	StatusInvalid       = Event{1503, log.WarnLevel, "status of another node not readable"}
+	ConfigFromPeer      = Event{1504, log.InfoLevel, "configuration taken from another node"}
+	ConfigInvalid       = Event{1505, log.WarnLevel, "configuration refused"}
+	NodeRegistered      = Event{1506, log.InfoLevel, "node registered in the platform's store"}
+	ProbeFailed         = Event{1507, log.InfoLevel, "upstream probe failed"}
+	SettingsReloaded    = Event{1508, log.InfoLevel, "settings reloaded"}
+	SettingsInvalid     = Event{1509, log.WarnLevel, "changed settings refused"}
+	ReadinessChanged    = Event{1510, log.InfoLevel, "readiness changed"}
+	MemberForgotten     = Event{1511, log.InfoLevel, "silent member forgotten"}
+)
--- /dev/null
+++ b/pkg/exchange/quiet_linux.go
@@ -0,0 +1,27 @@
+package exchange
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+// quiet reports whether an idle connection is open and has nothing to read.
+func quiet(n net.Conn) bool {
+	sc, ok := n.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/pkg/gate/gate.go
@@ -0,0 +1,335 @@
+// Package gate decides which requests run at the upstream beside a node, which
+// wait and which are refused.
+//
+// Load pattern: a burst of one or several kinds of work, about twice what the
+// upstream can run, for some seconds. Queues that hold more than what still meets
+// its target turn the whole burst into late answers. The gate therefore predicts
+// for each request when it would start and end, and refuses at once what would
+// miss its target in the queue; urgent work goes first, and lesser work that it
+// displaces for good is refused at that moment, not when its deadline passes.
+//
+// The package has no clock, socket or log: times are offsets that the caller
+// passes in. A Gate is not safe for concurrent use.
+package gate
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/pace"
+)
+
+const (
+	// usableShare of the slots is used. The users' upstreams slow down when more
+	// than four fifths of their slots are busy.
+	usableShare = 0.8
+	// firstService is the service time assumed for a route without history.
+	firstService = 20 * time.Millisecond
+	// serviceWeight is the part of a new service time in the mean of its route.
+	serviceWeight = 0.1
+	// overrun is the part of the expected service time that a request which is
+	// already past it is expected to need still.
+	overrun = 0.3
+	// lateWaitShare of the target is how long a request that can only be late may wait.
+	lateWaitShare = 8
+	// minRetry is the least time after which a refused request is asked to return.
+	minRetry = 50 * time.Millisecond
+)
+
+// Reason tells why a request was refused.
+type Reason string
+
+// Reasons. A refused request has not run.
+const (
+	ReasonNone      Reason = ""
+	ReasonBusy      Reason = "busy"
+	ReasonDisplaced Reason = "displaced"
+	ReasonDeadline  Reason = "deadline"
+	ReasonClosed    Reason = "upstream-not-ready"
+	ReasonCanceled  Reason = "canceled"
+)
+
+// Request is a request that wants to run at the upstream.
+type Request struct {
+	// Class names the route, for the estimate of the service time.
+	Class string
+	// Rank orders requests by urgency; 0 is the most urgent.
+	Rank int
+	// Length is the route's target latency.
+	Length time.Duration
+	// Target is the moment by which an answer has its full worth.
+	Target time.Duration
+	// Deadline is the moment after which an answer has no use.
+	Deadline time.Duration
+
+	arrived, started time.Duration
+}
+
+// Waited returns how long the request waited for its slot.
+func (r *Request) Waited() time.Duration { return r.started - r.arrived }
+
+// Refusal is a request that won't run, with the reason.
+type Refusal struct {
+	Request *Request
+	Reason  Reason
+	// RetryAfter is when there is likely to be room.
+	RetryAfter time.Duration
+}
+
+// Outcome lists what changes for requests that waited.
+type Outcome struct {
+	Started []*Request
+	Refused []Refusal
+}
+
+// Gate holds the requests at one upstream.
+type Gate struct {
+	slots, foreign int
+	open           bool
+	running        []*Request
+	queue          []*Request
+	service        map[string]time.Duration
+	pace           pace.Gauge
+	free           []time.Duration
+}
+
+// New returns a closed gate.
+func New() *Gate { return &Gate{service: map[string]time.Duration{}} }
+
+// Open sets the number of slots of the upstream and lets requests run.
+func (g *Gate) Open(now time.Duration, slots int) Outcome {
+	g.slots, g.open = slots, true
+	return g.advance(now)
+}
+
+// Close refuses all that wait; requests that run go on.
+func (g *Gate) Close(now time.Duration) Outcome {
+	g.open = false
+	var o Outcome
+	for _, r := range g.queue {
+		o.Refused = append(o.Refused, Refusal{r, ReasonClosed, minRetry})
+	}
+	g.queue = nil
+	return o
+}
+
+// Occupied sets the number of slots that are busy with requests that the gate
+// does not know, such as those of an earlier process of the node.
+func (g *Gate) Occupied(slots int) { g.foreign = max(0, slots) }
+
+// Pace takes a report of the VM's speed.
+func (g *Gate) Pace(now time.Duration, p float64) Outcome {
+	g.pace.Report(now, p)
+	return g.advance(now)
+}
+
+// PaceAge is the time since the last report of the VM's speed.
+func (g *Gate) PaceAge(now time.Duration) time.Duration { return g.pace.Age(now) }
+
+// State is what other nodes need to know to place requests.
+type State struct {
+	Open                   bool
+	Limit, Running, Queued int
+	// Pace is the last report of the VM's speed.
+	Pace float64
+	// Wait is the predicted wait of one more request of the least urgent rank.
+	Wait time.Duration
+}
+
+// State returns a summary of the gate.
+func (g *Gate) State(now time.Duration) State {
+	s := State{Open: g.open, Limit: g.limit(), Running: len(g.running) + g.foreign, Queued: len(g.queue), Pace: g.pace.Last()}
+	if s.Running >= s.Limit {
+		g.predict(now)
+		for _, r := range g.queue {
+			g.take(now, r)
+		}
+		s.Wait = slices.Min(g.free) - now
+	}
+	return s
+}
+
+// Running returns the number of requests that the gate let run.
+func (g *Gate) Running() int { return len(g.running) }
+
+func (g *Gate) limit() int { return max(1, int(float64(g.slots)*usableShare)) }
+
+// Service returns the expected service time of the class at the usual pace.
+func (g *Gate) Service(class string) time.Duration {
+	if s, ok := g.service[class]; ok {
+		return s
+	}
+	return firstService
+}
+
+func (g *Gate) expect(now time.Duration, class string) time.Duration {
+	s := g.Service(class)
+	return time.Duration(float64(s) * g.pace.Expect(now, s))
+}
+
+// Offer asks for a slot. The request runs at once, waits, or is refused.
+// Requests that it displaces are in the outcome.
+func (g *Gate) Offer(now time.Duration, r *Request) (started bool, refusal *Refusal, o Outcome) {
+	r.arrived, r.started = now, now
+	if !g.open {
+		return false, &Refusal{r, ReasonClosed, minRetry}, o
+	}
+	if now >= r.Deadline {
+		return false, &Refusal{r, ReasonDeadline, 0}, o
+	}
+	if len(g.queue) == 0 && len(g.running)+g.foreign < g.limit() {
+		g.running = append(g.running, r)
+		return true, nil, o
+	}
+	g.queue = append(g.queue, r)
+	o = g.advance(now)
+	if i := slices.IndexFunc(o.Refused, func(x Refusal) bool { return x.Request == r }); i >= 0 {
+		refusal := o.Refused[i]
+		refusal.Reason = ReasonBusy
+		o.Refused = slices.Delete(o.Refused, i, i+1)
+		return false, &refusal, o
+	}
+	if i := slices.Index(o.Started, r); i >= 0 {
+		o.Started = slices.Delete(o.Started, i, i+1)
+		return true, nil, o
+	}
+	return false, nil, o
+}
+
+// Done frees the slot of a request. A service time is learnt only from requests
+// that the upstream ran to their end.
+func (g *Gate) Done(now time.Duration, r *Request, ranToEnd bool) Outcome {
+	if i := slices.Index(g.running, r); i >= 0 {
+		g.running = slices.Delete(g.running, i, i+1)
+	}
+	if ranToEnd {
+		g.learn(now, r)
+	}
+	return g.advance(now)
+}
+
+func (g *Gate) learn(now time.Duration, r *Request) {
+	usual := float64(now-r.started) / max(0.1, g.pace.Expect(now, now-r.started))
+	old, ok := g.service[r.Class]
+	if !ok {
+		g.service[r.Class] = time.Duration(usual)
+		return
+	}
+	g.service[r.Class] = old + time.Duration(serviceWeight*(usual-float64(old)))
+}
+
+// Withdraw removes a request that waits. It reports whether it was there.
+func (g *Gate) Withdraw(r *Request) bool {
+	i := slices.Index(g.queue, r)
+	if i < 0 {
+		return false
+	}
+	g.queue = slices.Delete(g.queue, i, i+1)
+	return true
+}
+
+// Advance refuses requests whose time has run out since the last event.
+func (g *Gate) Advance(now time.Duration) Outcome { return g.advance(now) }
+
+// advance starts what has room and refuses what the prediction gives up.
+func (g *Gate) advance(now time.Duration) Outcome {
+	var o Outcome
+	if len(g.queue) == 0 {
+		return o
+	}
+	g.sort(now)
+	for len(g.queue) > 0 && len(g.running)+g.foreign < g.limit() {
+		r := g.queue[0]
+		g.queue = g.queue[1:]
+		if now >= r.Deadline {
+			o.Refused = append(o.Refused, Refusal{r, ReasonDeadline, 0})
+			continue
+		}
+		r.started = now
+		g.running = append(g.running, r)
+		o.Started = append(o.Started, r)
+	}
+	o.Refused = append(o.Refused, g.giveUp(now)...)
+	return o
+}
+
+// sort puts requests that can meet their target before those that cannot, then
+// orders by rank and by the moment of the target.
+func (g *Gate) sort(now time.Duration) {
+	late := func(r *Request) int {
+		if now+g.expect(now, r.Class) > r.Target {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(g.queue, func(a, b *Request) int {
+		return cmp.Or(cmp.Compare(late(a), late(b)), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Target, b.Target))
+	})
+}
+
+// giveUp removes the requests that are predicted to start too late.
+func (g *Gate) giveUp(now time.Duration) []Refusal {
+	var refused []Refusal
+	g.predict(now)
+	kept := g.queue[:0]
+	for _, r := range g.queue {
+		start := slices.Min(g.free)
+		if reason := g.hopeless(now, start, r); reason != ReasonNone {
+			refused = append(refused, Refusal{r, reason, max(minRetry, start-now)})
+			continue
+		}
+		g.take(now, r)
+		kept = append(kept, r)
+	}
+	g.queue = kept
+	return refused
+}
+
+// hopeless tells why a request that is predicted to start at the given time
+// should not go on waiting.
+func (g *Gate) hopeless(now, start time.Duration, r *Request) Reason {
+	end := start + g.expect(now, r.Class)
+	if end > r.Deadline {
+		return ReasonDeadline
+	}
+	if end <= r.Target {
+		return ReasonNone
+	}
+	if start > r.arrived+r.Length/lateWaitShare {
+		return ReasonDisplaced
+	}
+	return ReasonNone
+}
+
+// predict fills g.free with the times at which the usable slots become free.
+func (g *Gate) predict(now time.Duration) {
+	g.free = g.free[:0]
+	for _, r := range g.running {
+		s := g.expect(now, r.Class)
+		end := r.started + s
+		g.free = append(g.free, max(end, now+time.Duration(overrun*float64(s))))
+	}
+	for range g.foreign {
+		g.free = append(g.free, now+firstService)
+	}
+	for len(g.free) < g.limit() {
+		g.free = append(g.free, now)
+	}
+	slices.Sort(g.free)
+	// More may run than is usable just after the number of slots fell.
+	if n := len(g.free) - g.limit(); n > 0 {
+		g.free = g.free[n:]
+	}
+}
+
+// take gives the slot that is free first to the request.
+func (g *Gate) take(now time.Duration, r *Request) {
+	i := 0
+	for j := range g.free {
+		if g.free[j] < g.free[i] {
+			i = j
+		}
+	}
+	g.free[i] += g.expect(now, r.Class)
+}
--- /dev/null
+++ b/pkg/mesh/directory.go
@@ -0,0 +1,134 @@
+package mesh
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/placement"
+	"github.com/mulberrytray/mulberrytray/pkg/relay"
+	"github.com/mulberrytray/mulberrytray/pkg/roster"
+)
+
+const (
+	// blameTime is how long a node is avoided after a call to it failed without its
+	// upstream's fault, unless its next status arrives first.
+	blameTime = 500 * time.Millisecond
+	// lostPeriods without a status take a node out of the choice.
+	lostPeriods = 6
+	// silentPeriods without a status make a node a worse choice.
+	silentPeriods = 3
+	// firstWork is the work assumed for a route without history.
+	firstWork = 30 * time.Millisecond
+	// workWeight is the part of a new measurement in the mean work of a route.
+	workWeight = 0.1
+)
+
+// directory is what the node knows of the fleet, behind one lock. It implements
+// relay.Directory.
+type directory struct {
+	self    string
+	domain  string
+	costs   placement.Costs
+	sidecar *relay.Sidecar
+	start   time.Time
+
+	mu     sync.Mutex
+	roster *roster.Roster
+	work   map[string]time.Duration
+}
+
+func newDirectory(self, domain string, start time.Time) *directory {
+	return &directory{
+		self: self, domain: domain, costs: placement.DefaultCosts(), start: start,
+		roster: roster.New(), work: map[string]time.Duration{},
+	}
+}
+
+func (d *directory) now() time.Duration { return time.Since(d.start) }
+
+// workOf returns the mean work of the class at the usual pace. The lock is held.
+func (d *directory) workOf(class string) time.Duration {
+	if w, ok := d.work[class]; ok {
+		return w
+	}
+	return firstWork
+}
+
+// Choose implements relay.Directory.
+func (d *directory) Choose(service, class string, exclude []string) (relay.Choice, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	candidates, members := d.candidates(now, service, class, exclude, false)
+	if len(candidates) == 0 {
+		candidates, members = d.candidates(now, service, class, exclude, true)
+	}
+	i, cost := d.costs.Pick(candidates, d.workOf(class))
+	if i < 0 {
+		return relay.Choice{}, false
+	}
+	m := members[i]
+	m.Sent++
+	c := relay.Choice{Address: m.Status.Address, Upstream: m.Status.Upstream.ID}
+	c.Detail = fmt.Sprintf("%s cost=%dms free=%d pace=%.1f age=%dms", c.Address, cost.Milliseconds(), candidates[i].Free, candidates[i].Pace, (now - m.Heard).Milliseconds())
+	if c.Address == d.self {
+		c.Address = ""
+	}
+	return c, true
+}
+
+// candidates lists the upstreams of the service; with desperate set also those of
+// nodes that seem lost.
+func (d *directory) candidates(now time.Duration, service, class string, exclude []string, desperate bool) ([]placement.Candidate, []*roster.Member) {
+	var list []placement.Candidate
+	var members []*roster.Member
+	period := statusPeriod(d.roster.Len())
+	work := d.workOf(class)
+	d.roster.Each(func(m *roster.Member) {
+		u, s := m.Status.Upstream, m.Status
+		local := s.Address == d.self
+		excluded := slices.Contains(exclude, s.Address) || (local && slices.Contains(exclude, ""))
+		if s.Service != service || s.Phase != roster.Serving || !u.Open || excluded {
+			return
+		}
+		lost := !local && (now-m.Heard > lostPeriods*period || now < m.BlamedUntil)
+		if lost && !desperate {
+			return
+		}
+		list = append(list, placement.Candidate{
+			Address: s.Address, Local: local, SameDomain: s.Domain == d.domain,
+			Pace: m.Pace.Expect(now, work), Wait: time.Duration(u.WaitMillis) * time.Millisecond,
+			Free: u.Limit - u.Running - u.Queued - m.Sent, Limit: u.Limit,
+			Service:  time.Duration(u.ServiceMicros) * time.Microsecond,
+			Failures: float64(u.FailurePermille) / 1000,
+			Silent:   !local && now-m.Heard > silentPeriods*period,
+		})
+		members = append(members, m)
+	})
+	return list, members
+}
+
+// Ended implements relay.Directory.
+func (d *directory) Ended(c relay.Choice, class string, r *relay.Result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	address := c.Address
+	if address == "" {
+		address = d.self
+	}
+	m := d.roster.Member(address)
+	if m == nil {
+		return
+	}
+	now := d.now()
+	if c.Address != "" && (r.Reason == relay.ReasonPeerUnreachable || (r.Kind == relay.Failed && r.Ran == 0)) {
+		m.BlamedUntil = now + blameTime
+	}
+	if r.Kind == relay.Answered && r.Ran > 0 {
+		usual := float64(r.Ran) / max(0.1, m.Pace.Expect(now, 0))
+		old := d.workOf(class)
+		d.work[class] = old + time.Duration(workWeight*(usual-float64(old)))
+	}
+}
--- /dev/null
+++ b/pkg/mesh/follow.go
@@ -0,0 +1,168 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/event"
+	"github.com/mulberrytray/mulberrytray/pkg/relay"
+	"github.com/mulberrytray/mulberrytray/pkg/route"
+)
+
+const (
+	// followGap is the least time between two reads of the configuration, so that a
+	// series of changes is read at once.
+	followGap = 400 * time.Millisecond
+	// waitPerMember makes the reads per second of the whole fleet constant; nodes
+	// tell each other what one of them reads.
+	waitPerMember = 700 * time.Millisecond
+	minWait       = 2 * time.Second
+	maxWait       = 20 * time.Second
+	// storeSlack is how long past its wait a read may take.
+	storeSlack = 1500 * time.Millisecond
+	// storeTimeout bounds other calls to the store.
+	storeTimeout = 1500 * time.Millisecond
+	// firstRetry and lastRetry bound the pause after a failed call to the store.
+	firstRetry = 200 * time.Millisecond
+	lastRetry  = 1500 * time.Millisecond
+)
+
+// follower keeps the newest routing table in force. Versions only grow.
+type follower struct {
+	configs Configs
+	events  *event.Logger
+	install func(*route.Table)
+	members func() int
+
+	mu      sync.Mutex
+	current *route.Table
+	lost    bool
+}
+
+// offer puts an encoded configuration in force if it is newer.
+func (f *follower) offer(encoded []byte, source string) {
+	t, err := f.configs.Decode(encoded)
+	if err != nil {
+		f.events.Emit(event.ConfigInvalid, event.Fields{"source": source, "error": err.Error()})
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.current != nil && t.Version <= f.current.Version {
+		return
+	}
+	f.current = t
+	f.install(t)
+	f.events.Emit(event.ConfigInstalled, event.Fields{"version": t.Version, "routes": t.Len(), "source": source})
+}
+
+func (f *follower) version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.current == nil {
+		return 0
+	}
+	return f.current.Version
+}
+
+// run follows the store until the context ends.
+func (f *follower) run(ctx context.Context) {
+	known, position := false, int64(0)
+	pause := firstRetry
+	for ctx.Err() == nil {
+		next, err := f.read(ctx, known, position)
+		switch {
+		case err == nil:
+			known, position = true, next
+			pause = followGap
+		case errors.Is(err, ErrHistoryGone):
+			known = false
+			continue
+		default:
+			pause = min(lastRetry, max(firstRetry, pause*2))
+		}
+		f.note(err)
+		if !sleep(ctx, pause) {
+			return
+		}
+		if err == nil {
+			pause = firstRetry
+		}
+	}
+}
+
+// read makes one call to the store and returns the next position.
+func (f *follower) read(ctx context.Context, known bool, position int64) (int64, error) {
+	var encoded []byte
+	var next int64
+	var err error
+	if known {
+		wait := min(maxWait, max(minWait, time.Duration(f.members())*waitPerMember))
+		ctx, cancel := context.WithTimeout(ctx, wait+storeSlack)
+		defer cancel()
+		encoded, next, err = f.configs.Changes(ctx, position, wait)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		encoded, next, err = f.configs.Newest(ctx)
+	}
+	if err != nil {
+		return 0, err
+	}
+	if encoded != nil {
+		f.offer(encoded, "store")
+	}
+	return next, nil
+}
+
+// note logs when the store is lost and regained.
+func (f *follower) note(err error) {
+	f.mu.Lock()
+	was := f.lost
+	f.lost = err != nil
+	f.mu.Unlock()
+	switch {
+	case err != nil && !was:
+		f.events.Emit(event.LogUnreachable, event.Fields{"error": err.Error()})
+	case err == nil && was:
+		f.events.Emit(event.LogReachable, event.Fields{})
+	}
+}
+
+// fetcher takes newer configurations from other nodes, one at a time.
+type fetcher struct {
+	follower *follower
+	peers    *relay.HTTPPeers
+	events   *event.Logger
+	wanted   chan string
+}
+
+func newFetcher(f *follower, peers *relay.HTTPPeers, events *event.Logger) *fetcher {
+	return &fetcher{follower: f, peers: peers, events: events, wanted: make(chan string, 1)}
+}
+
+// want asks for the configuration of the node at the address. It never blocks.
+func (f *fetcher) want(address string) {
+	select {
+	case f.wanted <- address:
+	default:
+	}
+}
+
+func (f *fetcher) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case address := <-f.wanted:
+			encoded, err := f.peers.Config(ctx, address)
+			if err != nil {
+				f.events.Emit(event.ConfigInvalid, event.Fields{"source": address, "error": err.Error()})
+				continue
+			}
+			f.follower.offer(encoded, address)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/placement/placement.go
@@ -0,0 +1,111 @@
+// Package placement chooses the upstream for a request.
+//
+// Load pattern: each VM is stalled by its neighbours for some hundred
+// milliseconds at a time, some upstreams are slow or fail part of their requests
+// for seconds, and many nodes choose at once from reports that are already old.
+// The choice compares the expected time to the answer: the wait that the upstream
+// reported, the requests sent there since, the work at the pace expected by now,
+// the way there, and a surcharge for failures. Choosing at random among nearly
+// equal upstreams keeps the nodes from choosing the same one.
+//
+// The package has no clock, socket or log.
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// failureCost is the time that a failed request is taken to cost.
+	failureCost = 400 * time.Millisecond
+	// nearlyEqual upstreams differ by at most this much.
+	nearlyEqual = 2 * time.Millisecond
+	// silenceCost is added for each silence beyond the expected status period.
+	silenceCost = 100 * time.Millisecond
+)
+
+// Candidate is an upstream that could take the request.
+type Candidate struct {
+	Address string
+	// Local upstreams are beside the node itself.
+	Local bool
+	// SameDomain upstreams are in the node's own failure domain.
+	SameDomain bool
+	// Pace is the expected pace over the request's work.
+	Pace float64
+	// Wait is the predicted wait as last reported.
+	Wait time.Duration
+	// Free is the number of free slots as last reported, less the requests sent
+	// there since; negative if more were sent than there was room for.
+	Free int
+	// Limit is the number of requests that run at a time.
+	Limit int
+	// Service is the mean service time at the usual pace.
+	Service time.Duration
+	// Failures is the part of recent requests that failed, 0 to 1.
+	Failures float64
+	// Silent is true if the node has not been heard for longer than expected.
+	Silent bool
+}
+
+// Costs are the times that a way to an upstream is taken to cost.
+type Costs struct {
+	// Peer is added for an upstream beside another node.
+	Peer time.Duration
+	// CrossDomain is added for an upstream in another failure domain. It covers
+	// the delay and the price of the bytes.
+	CrossDomain time.Duration
+}
+
+// DefaultCosts fit failure domains that are half a millisecond apart.
+func DefaultCosts() Costs {
+	return Costs{Peer: time.Millisecond, CrossDomain: 8 * time.Millisecond}
+}
+
+// Cost returns the expected time to the answer of work that takes the given time
+// at the usual pace.
+func (c Costs) Cost(u Candidate, work time.Duration) time.Duration {
+	cost := time.Duration(float64(work) * u.Pace)
+	cost += u.Wait
+	if u.Free <= 0 && u.Limit > 0 {
+		perRequest := float64(max(u.Service, time.Millisecond)) * u.Pace / float64(u.Limit)
+		cost += time.Duration(float64(1-u.Free) * perRequest)
+	}
+	if !u.Local {
+		cost += c.Peer
+		if !u.SameDomain {
+			cost += c.CrossDomain
+		}
+	}
+	cost += time.Duration(u.Failures * float64(failureCost))
+	if u.Silent {
+		cost += silenceCost
+	}
+	return cost
+}
+
+// Pick returns the index of the chosen candidate and its cost, or -1 if there is none.
+func (c Costs) Pick(candidates []Candidate, work time.Duration) (int, time.Duration) {
+	best, bestCost := -1, time.Duration(0)
+	costs := make([]time.Duration, len(candidates))
+	for i, u := range candidates {
+		costs[i] = c.Cost(u, work)
+		if best < 0 || costs[i] < bestCost {
+			best, bestCost = i, costs[i]
+		}
+	}
+	equal := 0
+	for i := range candidates {
+		if costs[i] <= bestCost+nearlyEqual {
+			equal++
+			if rand.IntN(equal) == 0 {
+				best = i
+			}
+		}
+	}
+	if best < 0 {
+		return -1, 0
+	}
+	return best, costs[best]
+}
--- /dev/null
+++ b/pkg/relay/header.go
@@ -0,0 +1,27 @@
+package relay
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// endToEnd returns a copy of the headers without those of one connection.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/relay/peer.go
@@ -0,0 +1,282 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Headers and paths between nodes. A call keeps its own headers; callHeader holds
+// the rest of it.
+const (
+	callHeader    = "Mt-Call"
+	uriHeader     = "Mt-Uri"
+	outcomeHeader = "Mt-Outcome"
+	callFields    = 11
+	outcomeFields = 6
+	// CallPath is where nodes send each other calls.
+	CallPath = "/mt/call"
+	// ConfigPath is where nodes give each other the routing table in force.
+	ConfigPath = "/mt/config"
+)
+
+const (
+	// peerDialTimeout bounds a connection to another node.
+	peerDialTimeout = 400 * time.Millisecond
+	// peerPing is the silence after which a connection to another node is checked.
+	peerPing = 500 * time.Millisecond
+	// peerPingTimeout is how long the answer to a check may take.
+	peerPingTimeout = 700 * time.Millisecond
+	// peerIdle is how long an unused connection to another node is kept.
+	peerIdle = 2 * time.Minute
+	// hopSlack is added to the time that the other node has for its answer.
+	hopSlack = 50 * time.Millisecond
+	// configLimit bounds the size of a routing table from another node.
+	configLimit = 16 << 20
+)
+
+// HTTPPeers reaches other nodes over cleartext HTTP/2, which cancels a call
+// without closing the connection and finds silent connections by itself.
+type HTTPPeers struct {
+	client *http.Client
+}
+
+// NewHTTPPeers returns peers without connections.
+func NewHTTPPeers() *HTTPPeers {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	dialer := net.Dialer{Timeout: peerDialTimeout}
+	return &HTTPPeers{client: &http.Client{
+		Transport: &http.Transport{
+			DialContext:        dialer.DialContext,
+			DisableCompression: true,
+			IdleConnTimeout:    peerIdle,
+			Protocols:          protocols,
+			HTTP2:              &http.HTTP2Config{SendPingTimeout: peerPing, PingTimeout: peerPingTimeout},
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// NewPeerServer returns a server for calls of other nodes.
+func NewPeerServer(h http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetHTTP1(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         protocols,
+		ReadHeaderTimeout: peerDialTimeout * 10,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: 1000},
+	}
+}
+
+// Call implements Peers.
+func (p *HTTPPeers) Call(ctx context.Context, address string, c *Call) *Result {
+	limit, cancel := context.WithTimeout(ctx, c.Timeout+answerSlack+hopSlack)
+	req := c.peerRequest(limit, address)
+	resp, err := p.client.Do(req)
+	if err != nil {
+		timedOut := errors.Is(limit.Err(), context.DeadlineExceeded)
+		cancel()
+		return peerFailure(err, timedOut)
+	}
+	result := peerResult(resp)
+	if result.Kind != Answered {
+		_ = resp.Body.Close()
+		cancel()
+		return result
+	}
+	n, err := readBeginning(result, resp.Body)
+	switch {
+	case errors.Is(err, io.EOF):
+		_ = resp.Body.Close()
+		cancel()
+		result.Length = n
+	case err != nil:
+		_ = resp.Body.Close()
+		cancel()
+		return failed("answer-broken", false)
+	default:
+		result.Rest = &closer{ReadCloser: resp.Body, done: cancel}
+	}
+	return result
+}
+
+// readBeginning collects the beginning of the body. The error is io.EOF if that is all.
+func readBeginning(result *Result, body io.Reader) (int64, error) {
+	var b bytes.Buffer
+	n, err := io.CopyN(&b, body, bodyBuffer)
+	result.Body = b.Bytes()
+	if err == nil {
+		return n, nil
+	}
+	return n, err
+}
+
+// peerFailure tells whether a call that got no answer may have run. Nothing was
+// sent if there was no connection.
+func peerFailure(err error, timedOut bool) *Result {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return refused(ReasonPeerUnreachable, downRetry)
+	}
+	result := failed("peer-failed", timedOut)
+	result.Detail = fmt.Errorf("%w: %w", errPeer, err).Error()
+	return result
+}
+
+func (c *Call) peerRequest(ctx context.Context, address string) *http.Request {
+	body := io.Reader(bytes.NewReader(c.Body))
+	if c.Rest != nil {
+		body = io.MultiReader(body, c.Rest)
+	}
+	u := &url.URL{Scheme: "http", Host: address, Path: CallPath}
+	h := c.Header.Clone()
+	h.Set(callHeader, c.encode())
+	// The path goes as a header, because it must arrive exactly as the caller wrote it.
+	h.Set(uriHeader, c.URI)
+	if _, ok := h["User-Agent"]; !ok {
+		h.Set("User-Agent", "")
+	}
+	req := (&http.Request{
+		Method: http.MethodPost, URL: u, Host: c.Host, Header: h, ContentLength: c.Length,
+		Body: io.NopCloser(body),
+	}).WithContext(ctx)
+	if c.Length == 0 {
+		req.Body = http.NoBody
+	}
+	return req
+}
+
+// encode packs the parts of a call that its own request does not show.
+func (c *Call) encode() string {
+	once := "0"
+	if !c.Idempotent {
+		once = "1"
+	}
+	return strings.Join([]string{
+		url.PathEscape(c.Service), url.PathEscape(c.Upstream), url.PathEscape(c.Caller), url.PathEscape(c.Class),
+		strconv.Itoa(c.Rank), millis(c.Target), millis(c.TargetLeft), millis(c.Timeout), once, url.PathEscape(c.ID), c.Method,
+	}, ";")
+}
+
+func millis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+
+// decodeCall reads a call of another node.
+func decodeCall(r *http.Request) (*Call, error) {
+	f := strings.Split(r.Header.Get(callHeader), ";")
+	if len(f) != callFields {
+		return nil, fmt.Errorf("%w: call header has %d fields", errPeer, len(f))
+	}
+	var numbers [4]int64
+	for i := range numbers {
+		n, err := strconv.ParseInt(f[4+i], 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%w: call header: %w", errPeer, err)
+		}
+		numbers[i] = n
+	}
+	var names [5]string
+	for i, at := range []int{0, 1, 2, 3, 9} {
+		name, err := url.PathUnescape(f[at])
+		if err != nil {
+			return nil, fmt.Errorf("%w: call header: %w", errPeer, err)
+		}
+		names[i] = name
+	}
+	h := endToEnd(r.Header)
+	h.Del(callHeader)
+	h.Del(uriHeader)
+	if h.Get("User-Agent") == "" {
+		h.Del("User-Agent")
+	}
+	c := &Call{
+		Service: names[0], Upstream: names[1], Caller: names[2], Class: names[3], ID: names[4], Rank: int(numbers[0]),
+		Target: ms(numbers[1]), TargetLeft: ms(numbers[2]), Timeout: ms(numbers[3]),
+		Idempotent: f[8] == "0",
+		Method:     r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Length: r.ContentLength,
+	}
+	return c, readBody(c, r.Body, c.Length, maxInt64)
+}
+
+const maxInt64 = 1<<63 - 1
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// encodeOutcome packs how a call ended, for the header of the answer.
+func (r *Result) encodeOutcome() string {
+	timedOut := "0"
+	if r.TimedOut {
+		timedOut = "1"
+	}
+	return strings.Join([]string{string(r.Kind), r.Reason, millis(r.RetryAfter), millis(r.Waited), millis(r.Ran), timedOut}, ";")
+}
+
+func peerResult(resp *http.Response) *Result {
+	f := strings.Split(resp.Header.Get(outcomeHeader), ";")
+	if len(f) != outcomeFields {
+		return failed("peer-answer-invalid", false)
+	}
+	retry, err1 := strconv.ParseInt(f[2], 10, 64)
+	waited, err2 := strconv.ParseInt(f[3], 10, 64)
+	ran, err3 := strconv.ParseInt(f[4], 10, 64)
+	if err := errors.Join(err1, err2, err3); err != nil {
+		return failed("peer-answer-invalid", false)
+	}
+	h := resp.Header.Clone()
+	h.Del(outcomeHeader)
+	h.Del("Content-Length")
+	return &Result{
+		Kind: Kind(f[0]), Status: resp.StatusCode, Header: h, Reason: f[1], Length: resp.ContentLength,
+		RetryAfter: ms(retry), Waited: ms(waited), Ran: ms(ran), TimedOut: f[5] == "1",
+	}
+}
+
+// ServePeer runs the calls of other nodes.
+func (s *Sidecar) ServePeer(w http.ResponseWriter, r *http.Request) {
+	c, err := decodeCall(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	result := s.Run(r.Context(), c)
+	h := w.Header()
+	h.Set(outcomeHeader, result.encodeOutcome())
+	if result.Kind != Answered {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	writeAnswer(w, result)
+}
+
+// Config returns the encoded routing table in force at another node.
+func (p *HTTPPeers) Config(ctx context.Context, address string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ConfigPath, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errPeer, err)
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errPeer, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%w: status %d", errPeer, resp.StatusCode)
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, configLimit))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errPeer, err)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/pkg/route/route.go
@@ -0,0 +1,139 @@
+// Package route holds the routing configuration that nodes apply to requests of
+// callers: routes by host and path prefix, the services behind them and the
+// limits of caller connections. A Table is immutable, so that one request sees
+// one version from its first byte to its last.
+package route
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"time"
+)
+
+// ErrInvalid marks a table that must not be put in force.
+var ErrInvalid = errors.New("invalid routing table")
+
+// Share is one service of a route and its weight among the route's services.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route tells where requests of one host and path prefix go and how they may be
+// treated on the way.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// Rank orders routes by urgency; 0 is the most urgent.
+	Rank int
+	// Target is the latency within which an answer has its full worth.
+	Target time.Duration
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// MaxAttempts bounds the upstreams that one request may be sent to.
+	MaxAttempts int
+	Shares      []Share
+}
+
+// Service describes the upstreams of one name.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConnections is what one upstream accepts from all its callers.
+	MaxConnections int
+}
+
+// Limits bound what a caller may send on a connection.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Table is one version of the configuration. It is immutable and safe for
+// concurrent use.
+type Table struct {
+	Version  uint64
+	Limits   Limits
+	Services map[string]Service
+	// Source is the encoded form that the table was decoded from. Nodes pass it
+	// on to each other unchanged.
+	Source []byte
+
+	hosts map[string][]*Route
+}
+
+// NewTable checks the routes and returns a table of them. Errors wrap ErrInvalid.
+func NewTable(version uint64, limits Limits, services []Service, routes []*Route) (*Table, error) {
+	t := &Table{Version: version, Limits: limits, Services: map[string]Service{}, hosts: map[string][]*Route{}}
+	for _, s := range services {
+		t.Services[s.Name] = s
+	}
+	for _, r := range routes {
+		if err := t.check(r); err != nil {
+			return nil, err
+		}
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, of := range t.hosts {
+		slices.SortStableFunc(of, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t, nil
+}
+
+func (t *Table) check(r *Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return fmt.Errorf("%w: route %q: prefix %q needs a slash at both ends", ErrInvalid, r.Name, r.Prefix)
+	}
+	if len(r.Shares) == 0 {
+		return fmt.Errorf("%w: route %q has no service", ErrInvalid, r.Name)
+	}
+	total := 0
+	for _, s := range r.Shares {
+		if _, ok := t.Services[s.Service]; !ok {
+			return fmt.Errorf("%w: route %q names unknown service %q", ErrInvalid, r.Name, s.Service)
+		}
+		if s.Weight < 0 {
+			return fmt.Errorf("%w: route %q: negative weight", ErrInvalid, r.Name)
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		return fmt.Errorf("%w: route %q: all weights are zero", ErrInvalid, r.Name)
+	}
+	return nil
+}
+
+// Match returns the route of the host with the longest prefix that begins the
+// path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.hosts[hostOnly(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Len returns the number of routes.
+func (t *Table) Len() int {
+	n := 0
+	for _, of := range t.hosts {
+		n += len(of)
+	}
+	return n
+}
+
+func hostOnly(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/pkg/route/split.go
@@ -0,0 +1,58 @@
+package route
+
+import (
+	"math/rand/v2"
+	"sync"
+)
+
+// Splitter distributes the requests of each route over its services by weight.
+// It uses smooth weighted round robin, so that every short run of requests has
+// the right proportions. It is safe for concurrent use.
+type Splitter struct {
+	mu     sync.Mutex
+	credit map[string]map[string]float64
+}
+
+// NewSplitter returns a splitter without history.
+func NewSplitter() *Splitter {
+	return &Splitter{credit: map[string]map[string]float64{}}
+}
+
+// Pick returns the service for the next request of the route.
+func (s *Splitter) Pick(r *Route) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	credit := s.credit[r.Name]
+	if credit == nil {
+		credit = startCredit(r)
+		s.credit[r.Name] = credit
+	}
+	total, best := 0.0, ""
+	for _, share := range r.Shares {
+		w := float64(share.Weight)
+		total += w
+		if w == 0 {
+			delete(credit, share.Service)
+			continue
+		}
+		credit[share.Service] += w
+		if best == "" || credit[share.Service] > credit[best] {
+			best = share.Service
+		}
+	}
+	credit[best] -= total
+	return best
+}
+
+// startCredit begins at a random point of the cycle, so that nodes which start
+// together don't all send their first request to the same service.
+func startCredit(r *Route) map[string]float64 {
+	credit := map[string]float64{}
+	for _, share := range r.Shares {
+		credit[share.Service] = rand.Float64() * float64(share.Weight)
+	}
+	return credit
+}
