Spread requests by expected time, tell neighbours sooner, and let few nodes read the store

Change: candidates are drawn by expected time with a tolerance that grows with the age of the report; answers carry the upstream's state; statuses with news go to the own failure domain at once and to others at a lower rate; readers are chosen by hash among the nodes that are heard; 20 first sends pay for one repeat.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -150,6 +150,9 @@
 	return s
 }
 
+// Load returns the number of requests that run or wait.
+func (g *Gate) Load() int { return len(g.running) + g.foreign + len(g.queue) }
+
 // Running returns the number of requests that the gate let run.
 func (g *Gate) Running() int { return len(g.running) }
 
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mulberrytray/mulberrytray/pkg/placement"
 	"github.com/mulberrytray/mulberrytray/pkg/relay"
 	"github.com/mulberrytray/mulberrytray/pkg/roster"
@@ -21,6 +23,10 @@
 	silentPeriods = 3
 	// firstWork is the work assumed for a route without history.
 	firstWork = 30 * time.Millisecond
+	// minReaders read the store in any fleet, so that several may lose it at once.
+	minReaders = 5
+	// membersPerReader is the number of members that one reader stands for.
+	membersPerReader = 8
 	// workWeight is the part of a new measurement in the mean work of a route.
 	workWeight = 0.1
 )
@@ -103,6 +109,7 @@
 			Free: u.Limit - u.Running - u.Queued - m.Sent, Limit: u.Limit,
 			Service:  time.Duration(u.ServiceMicros) * time.Microsecond,
 			Failures: float64(u.FailurePermille) / 1000,
+			Age:      now - m.Heard,
 			Silent:   !local && now-m.Heard > silentPeriods*period,
 		})
 		members = append(members, m)
@@ -123,6 +130,9 @@
 		return
 	}
 	now := d.now()
+	if r.State.ID != "" {
+		d.roster.Refresh(now, address, r.State)
+	}
 	if c.Address != "" && (r.Reason == relay.ReasonPeerUnreachable || (r.Kind == relay.Failed && r.Ran == 0)) {
 		m.BlamedUntil = now + blameTime
 	}
@@ -132,3 +142,21 @@
 		d.work[class] = old + time.Duration(workWeight*(usual-float64(old)))
 	}
 }
+
+// reader reports whether this node reads the store for the others. Readers are the nodes with the least hashes among those that
+// are heard and reach the store, so that all nodes agree without a word.
+func (d *directory) reader() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, own, before, heard := d.now(), xxhash.Sum64String(d.self), 0, 0
+	d.roster.Each(func(m *roster.Member) {
+		if m.Status.Address == d.self || now-m.Heard > missingAfter || m.Status.StoreLost || m.Status.Phase != roster.Serving {
+			return
+		}
+		heard++
+		if xxhash.Sum64String(m.Status.Address) < own {
+			before++
+		}
+	})
+	return before < max(minReaders, heard/membersPerReader)
+}
--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -15,11 +15,13 @@
 	// followGap is the least time between two reads of the configuration, so that a
 	// series of changes is read at once.
 	followGap = 400 * time.Millisecond
-	// waitPerMember makes the reads per second of the whole fleet constant; nodes
-	// tell each other what one of them reads.
-	waitPerMember = 700 * time.Millisecond
-	minWait       = 2 * time.Second
-	maxWait       = 20 * time.Second
+	// readWait is how long a read waits for a change. A silent connection to the
+	// store is found after it.
+	readWait = 5 * time.Second
+	// rolePause is how often a node that does not read looks whether it should.
+	rolePause = 300 * time.Millisecond
+	// lonelyAfter without any configuration makes a node read for itself.
+	lonelyAfter = time.Second
 	// storeSlack is how long past its wait a read may take.
 	storeSlack = 1500 * time.Millisecond
 	// storeTimeout bounds other calls to the store.
@@ -34,7 +36,8 @@
 	configs Configs
 	events  *event.Logger
 	install func(*route.Table)
-	members func() int
+	// role reports whether this node is one of the readers of the fleet.
+	role func() bool
 
 	mu      sync.Mutex
 	current *route.Table
@@ -67,11 +70,30 @@
 	return f.current.Version
 }
 
-// run follows the store until the context ends.
+func (f *follower) storeLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost
+}
+
+// run follows the store until the context ends. Only the readers do; the others
+// hear from them. A node that hears of no configuration reads for itself.
 func (f *follower) run(ctx context.Context) {
 	known, position := false, int64(0)
-	pause := firstRetry
+	pause, start := firstRetry, time.Now()
+	// The statuses of the others tell first who the readers are.
+	if !sleep(ctx, rolePause) {
+		return
+	}
 	for ctx.Err() == nil {
+		if !f.role() && (f.version() > 0 || time.Since(start) < lonelyAfter) {
+			if !sleep(ctx, rolePause) {
+				return
+			}
+			// Whatever was read in the meantime has come from another node.
+			known = false
+			continue
+		}
 		next, err := f.read(ctx, known, position)
 		switch {
 		case err == nil:
@@ -99,10 +121,9 @@
 	var next int64
 	var err error
 	if known {
-		wait := min(maxWait, max(minWait, time.Duration(f.members())*waitPerMember))
-		ctx, cancel := context.WithTimeout(ctx, wait+storeSlack)
+		ctx, cancel := context.WithTimeout(ctx, readWait+storeSlack)
 		defer cancel()
-		encoded, next, err = f.configs.Changes(ctx, position, wait)
+		encoded, next, err = f.configs.Changes(ctx, position, readWait)
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
--- a/pkg/mesh/gossip.go
+++ b/pkg/mesh/gossip.go
@@ -23,8 +23,12 @@
 	minPeriod = 250 * time.Millisecond
 	// periodPerMember makes the statuses that a node receives per second constant.
 	periodPerMember = 15 * time.Millisecond
-	// newsGapPerMember bounds the rate of statuses with news.
-	newsGapPerMember = 2 * time.Millisecond
+	// nearGapPerMember bounds the rate of statuses with news in a failure domain.
+	nearGapPerMember = 2 * time.Millisecond
+	// farGapPerMember bounds the rate of statuses with news to other failure domains.
+	farGapPerMember = 4 * time.Millisecond
+	// minGap is the least time between two statuses.
+	minGap = 5 * time.Millisecond
 	// missingPeriod is how often a silent member is still told our status, so that a
 	// node that restarts without the store finds the others.
 	missingPeriod = time.Second
@@ -48,7 +52,8 @@
 	status func() roster.Status
 	// heard is called after each status that was not ignored.
 	heard func(roster.Status, roster.Change)
-	news  chan struct{}
+	// news asks for a status soon, urgent for one now.
+	news, urgent chan struct{}
 
 	mu          sync.Mutex
 	incarnation int64
@@ -57,36 +62,76 @@
 }
 
 func newGossip(dir *directory, conn *net.UDPConn, events *event.Logger) *gossip {
-	return &gossip{dir: dir, conn: conn, events: events, news: make(chan struct{}, 1), incarnation: time.Now().UnixMilli()}
+	return &gossip{dir: dir, conn: conn, events: events, news: make(chan struct{}, 1), urgent: make(chan struct{}, 1), incarnation: time.Now().UnixMilli()}
 }
 
 // tell asks for a status to be sent soon. It never blocks.
-func (g *gossip) tell() {
+func (g *gossip) tell() { notify(g.news) }
+
+// tellAll asks for a status to be sent to all members now. It never blocks.
+func (g *gossip) tellAll() { notify(g.urgent) }
+
+func notify(c chan struct{}) {
 	select {
-	case g.news <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
-// send runs until the context ends. It sends a status to all members when there
-// is news, and otherwise once per period.
+// send runs until the context ends. Members in the same failure domain hear of each
+// change of the load; those in others, to which bytes are dear, at a lower rate.
+// Changes of the state go to all at once.
 func (g *gossip) send(ctx context.Context) {
+	var near, far time.Duration
+	nearNews, farNews := true, true
 	for {
-		members := g.broadcast()
-		gap := time.Duration(members) * newsGapPerMember
-		if !sleep(ctx, gap) {
-			return
+		members, neighbours := g.dir.counts()
+		now := g.dir.now()
+		nearDue := near + due(nearNews, time.Duration(neighbours)*nearGapPerMember, members)
+		farDue := far + due(farNews, time.Duration(members)*farGapPerMember, members)
+		if now >= min(nearDue, farDue) {
+			if now >= farDue {
+				far, farNews = now, false
+				g.broadcast(true)
+			} else {
+				g.broadcast(false)
+			}
+			near, nearNews = now, false
+			continue
 		}
-		timer := time.NewTimer(statusPeriod(members) - gap)
+		timer := time.NewTimer(min(nearDue, farDue) - now)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return
 		case <-g.news:
-			timer.Stop()
+			nearNews, farNews = true, true
+		case <-g.urgent:
+			near, far = -time.Hour, -time.Hour
 		case <-timer.C:
 		}
+		timer.Stop()
+	}
+}
+
+// due returns the time from one status to the next.
+func due(news bool, gap time.Duration, members int) time.Duration {
+	if news {
+		return max(minGap, gap)
 	}
+	return statusPeriod(members)
+}
+
+// counts returns the number of members and of those in the same failure domain.
+func (d *directory) counts() (members, neighbours int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.roster.Each(func(m *roster.Member) {
+		if m.Status.Domain == d.domain {
+			neighbours++
+		}
+	})
+	return d.roster.Len(), neighbours
 }
 
 // sleep reports whether the time passed before the context ended.
@@ -107,13 +152,13 @@
 	incarnation int64
 }
 
-// broadcast sends the status to the members and returns their number.
-func (g *gossip) broadcast() int {
+// broadcast sends the status to the members of the same failure domain or to all.
+func (g *gossip) broadcast(all bool) {
 	s := g.next()
-	for _, t := range g.targets() {
+	g.dir.observeSelf(s)
+	for _, t := range g.targets(all) {
 		g.sendTo(s, t)
 	}
-	return g.dir.observeSelf(s)
 }
 
 // next returns the status with the next sequence.
@@ -126,20 +171,19 @@
 	return s
 }
 
-func (d *directory) observeSelf(s roster.Status) int {
+func (d *directory) observeSelf(s roster.Status) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.roster.Observe(d.now(), s)
-	return d.roster.Len()
 }
 
 // targets lists the members that are told now: all that are heard, and those that
 // are silent once per missingPeriod.
-func (g *gossip) targets() []target {
+func (g *gossip) targets(all bool) []target {
 	g.dir.mu.Lock()
 	defer g.dir.mu.Unlock()
 	now := g.dir.now()
-	missingToo := now-g.toldMissing >= missingPeriod
+	missingToo := all && now-g.toldMissing >= missingPeriod
 	if missingToo {
 		g.toldMissing = now
 	}
@@ -154,6 +198,9 @@
 			forget = append(forget, m.Status.Address)
 			return
 		}
+		if !all && m.Status.Domain != g.dir.domain {
+			return
+		}
 		if now-m.Heard <= missingAfter || missingToo {
 			list = append(list, target{m.Status.Address, m.Status.Incarnation})
 		}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -96,7 +96,7 @@
 	}
 	n.dir = newDirectory(s.PeerAddress, s.Domain, n.start)
 	n.gossip = newGossip(n.dir, conn, p.Events)
-	n.sidecar = relay.NewSidecar(p.Names, s.Service, s.UpstreamAddress, p.Events, n.gossip.tell)
+	n.sidecar = relay.NewSidecar(p.Names, s.Service, s.UpstreamAddress, p.Events, n.gossip.tell, n.gossip.tellAll)
 	n.dir.sidecar = n.sidecar
 	n.gossip.status, n.gossip.heard = n.status, n.heard
 	n.peers = relay.NewHTTPPeers()
@@ -104,7 +104,7 @@
 		Names: p.Names, Service: s.Service, Dir: n.dir, Peers: n.peers, Sidecar: n.sidecar, Events: p.Events, Metrics: n.metrics,
 	}
 	n.ingress.Provision()
-	n.follower = &follower{configs: p.Configs, events: p.Events, install: n.install, members: n.dir.len}
+	n.follower = &follower{configs: p.Configs, events: p.Events, install: n.install, role: n.dir.reader}
 	n.fetcher = newFetcher(n.follower, n.peers, p.Events)
 	return n.listen()
 }
@@ -190,7 +190,7 @@
 	}
 	return roster.Status{
 		Address: n.settings.PeerAddress, Phase: phase, Domain: n.settings.Domain, Service: n.settings.Service,
-		ConfigVersion: n.follower.version(), Upstream: n.sidecar.Status(),
+		ConfigVersion: n.follower.version(), StoreLost: n.follower.storeLost(), Upstream: n.sidecar.Status(),
 	}
 }
 
@@ -203,10 +203,10 @@
 	switch change {
 	case roster.Joined:
 		n.ports.Events.Emit(event.MemberJoined, fields)
-		n.gossip.tell()
+		n.gossip.tellAll()
 	case roster.Replaced:
 		n.ports.Events.Emit(event.MemberReplaced, fields)
-		n.gossip.tell()
+		n.gossip.tellAll()
 	case roster.Altered:
 		n.ports.Events.Emit(event.MemberAltered, fields)
 	}
@@ -218,7 +218,7 @@
 func (n *Node) install(t *route.Table) {
 	n.ingress.Install(t)
 	n.tableAt.CompareAndSwap(0, int64(time.Since(n.start)))
-	n.gossip.tell()
+	n.gossip.tellAll()
 }
 
 // servePeer serves the calls of other nodes and gives them the configuration.
@@ -302,7 +302,7 @@
 	}
 	n.dir.mu.Unlock()
 	n.ports.Events.Emit(event.NodeRegistered, event.Fields{"known": len(addresses)})
-	n.gossip.tell()
+	n.gossip.tellAll()
 	return nil
 }
 
@@ -348,7 +348,7 @@
 	n.ports.Events.Emit(event.NodeDraining, event.Fields{"active": n.ingress.Active(), "running": n.sidecar.Running()})
 	n.sidecar.Stop()
 	n.ingress.CloseConnections()
-	n.gossip.tell()
+	n.gossip.tellAll()
 	limit := begun.Add(n.settings.StopWithin - stopReserve)
 	for time.Now().Before(limit) {
 		idle := n.ingress.Active() == 0 && n.sidecar.Running() == 0
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -12,6 +12,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -21,6 +22,10 @@
 	failureCost = 400 * time.Millisecond
 	// nearlyEqual upstreams differ by at most this much.
 	nearlyEqual = 2 * time.Millisecond
+	// oldReport is the age from which a report says little about single requests.
+	oldReport = 400 * time.Millisecond
+	// staleTolerance is the part of the work that counts as equal for old reports.
+	staleTolerance = 0.15
 	// silenceCost is added for each silence beyond the expected status period.
 	silenceCost = 100 * time.Millisecond
 )
@@ -45,6 +50,8 @@
 	Service time.Duration
 	// Failures is the part of recent requests that failed, 0 to 1.
 	Failures float64
+	// Age is the time since the last report.
+	Age time.Duration
 	// Silent is true if the node has not been heard for longer than expected.
 	Silent bool
 }
@@ -85,27 +92,38 @@
 	return cost
 }
 
-// Pick returns the index of the chosen candidate and its cost, or -1 if there is none.
+// Pick returns the index of the chosen candidate and its cost, or -1 if there is
+// none. The chance of a candidate falls with its cost; the older the reports, the
+// less a difference counts, since other nodes follow the same reports.
 func (c Costs) Pick(candidates []Candidate, work time.Duration) (int, time.Duration) {
-	best, bestCost := -1, time.Duration(0)
+	if len(candidates) == 0 {
+		return -1, 0
+	}
 	costs := make([]time.Duration, len(candidates))
+	best := 0
 	for i, u := range candidates {
 		costs[i] = c.Cost(u, work)
-		if best < 0 || costs[i] < bestCost {
-			best, bestCost = i, costs[i]
+		if costs[i] < costs[best] {
+			best = i
 		}
 	}
-	equal := 0
-	for i := range candidates {
-		if costs[i] <= bestCost+nearlyEqual {
-			equal++
-			if rand.IntN(equal) == 0 {
-				best = i
-			}
-		}
+	total := 0.0
+	weights := make([]float64, len(candidates))
+	for i, u := range candidates {
+		weights[i] = math.Exp(-float64(costs[i]-costs[best]) / float64(tolerance(u, work)))
+		total += weights[i]
 	}
-	if best < 0 {
-		return -1, 0
+	at := rand.Float64() * total
+	for i, w := range weights {
+		if at -= w; at < 0 {
+			return i, costs[i]
+		}
 	}
 	return best, costs[best]
 }
+
+// tolerance is the difference in cost that halves a candidate's chance or more.
+func tolerance(u Candidate, work time.Duration) time.Duration {
+	age := min(1, float64(u.Age)/float64(oldReport))
+	return nearlyEqual + time.Duration(age*staleTolerance*float64(work))
+}
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/roster"
 )
 
 // Names are the headers that callers and upstreams understand.
@@ -103,6 +105,8 @@
 	Waited time.Duration
 	// Ran is the time from then to the answer.
 	Ran time.Duration
+	// State is the upstream's state when the call ended; its ID is empty if it is not known.
+	State roster.Upstream
 	// TimedOut is set for failed calls whose time ran out.
 	TimedOut bool
 }
--- a/pkg/relay/helper_test.go
+++ b/pkg/relay/helper_test.go
@@ -90,7 +90,7 @@
 
 // newTestSidecar returns a sidecar whose upstream is ready with the slots.
 func newTestSidecar(u *fakeUpstream, slots int) *Sidecar {
-	s := NewSidecar(testNames, "svc", u.listener.Addr().String(), event.Discard(), func() {})
+	s := NewSidecar(testNames, "svc", u.listener.Addr().String(), event.Discard(), func() {}, func() {})
 	s.Announce(announce.Announcement{ID: "u1", State: announce.Ready, Slots: slots, Born: 1, Sequence: 1})
 	return s
 }
--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -29,6 +29,9 @@
 	noUpstreamRetry = 200 * time.Millisecond
 	// answerWait is how long past its time an ingress waits for a call's result.
 	answerWait = answerSlack + 2*hopSlack
+	// sendsPerRetry keeps repeats at a quarter of the users' limit of one in five: a
+	// window may hold the credit of two, and a repeat repeats its own calls as well.
+	sendsPerRetry = 20
 	// minRepeat is the least time that must be left to send a request once more.
 	minRepeat = 20 * time.Millisecond
 )
@@ -173,7 +176,7 @@
 	defer in.mu.Unlock()
 	b := in.budgets[service]
 	if b == nil {
-		b = retry.NewBudget()
+		b = retry.NewBudgetOf(sendsPerRetry)
 		in.budgets[service] = b
 	}
 	return b
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/roster"
 )
 
 // Headers and paths between nodes. A call keeps its own headers; callHeader holds
@@ -21,7 +23,7 @@
 	uriHeader     = "Mt-Uri"
 	outcomeHeader = "Mt-Outcome"
 	callFields    = 11
-	outcomeFields = 6
+	outcomeFields = 7
 	// CallPath is where nodes send each other calls.
 	CallPath = "/mt/call"
 	// ConfigPath is where nodes give each other the routing table in force.
@@ -203,7 +205,7 @@
 		Service: names[0], Upstream: names[1], Caller: names[2], Class: names[3], ID: names[4], Rank: int(numbers[0]),
 		Target: ms(numbers[1]), TargetLeft: ms(numbers[2]), Timeout: ms(numbers[3]),
 		Idempotent: f[8] == "0",
-		Method: f[10], URI: r.Header.Get(uriHeader), Host: r.Host, Header: h, Length: r.ContentLength,
+		Method:     f[10], URI: r.Header.Get(uriHeader), Host: r.Host, Header: h, Length: r.ContentLength,
 	}
 	return c, readBody(c, r.Body, c.Length, maxInt64)
 }
@@ -218,7 +220,7 @@
 	if r.TimedOut {
 		timedOut = "1"
 	}
-	return strings.Join([]string{string(r.Kind), r.Reason, millis(r.RetryAfter), millis(r.Waited), millis(r.Ran), timedOut}, ";")
+	return strings.Join([]string{string(r.Kind), r.Reason, millis(r.RetryAfter), millis(r.Waited), millis(r.Ran), timedOut, encodeState(r.State)}, ";")
 }
 
 func peerResult(resp *http.Response) *Result {
@@ -232,13 +234,43 @@
 	if err := errors.Join(err1, err2, err3); err != nil {
 		return failed("peer-answer-invalid", false)
 	}
+	state, err := decodeState(f[6])
+	if err != nil {
+		return failed("peer-answer-invalid", false)
+	}
 	h := resp.Header.Clone()
 	h.Del(outcomeHeader)
 	h.Del("Content-Length")
 	return &Result{
 		Kind: Kind(f[0]), Status: resp.StatusCode, Header: h, Reason: f[1], Length: resp.ContentLength,
-		RetryAfter: ms(retry), Waited: ms(waited), Ran: ms(ran), TimedOut: f[5] == "1",
+		RetryAfter: ms(retry), Waited: ms(waited), Ran: ms(ran), TimedOut: f[5] == "1", State: state,
+	}
+}
+
+// encodeState packs the upstream's state for the header of an answer.
+func encodeState(u roster.Upstream) string {
+	open := 0
+	if u.Open {
+		open = 1
+	}
+	return fmt.Sprintf("%s,%d,%d,%d,%d,%d,%d,%d,%d,%d", url.PathEscape(u.ID), open, u.Limit, u.Running, u.Queued,
+		u.Pace, u.PaceAgeMillis, u.WaitMillis, u.ServiceMicros, u.FailurePermille)
+}
+
+func decodeState(s string) (roster.Upstream, error) {
+	id, numbers, _ := strings.Cut(s, ",")
+	var u roster.Upstream
+	var open int
+	_, err := fmt.Sscanf(numbers, "%d,%d,%d,%d,%d,%d,%d,%d,%d", &open, &u.Limit, &u.Running, &u.Queued,
+		&u.Pace, &u.PaceAgeMillis, &u.WaitMillis, &u.ServiceMicros, &u.FailurePermille)
+	if err != nil {
+		return u, fmt.Errorf("%w: upstream state: %w", errPeer, err)
+	}
+	u.Open = open == 1
+	if u.ID, err = url.PathUnescape(id); err != nil {
+		return u, fmt.Errorf("%w: upstream state: %w", errPeer, err)
 	}
+	return u, nil
 }
 
 // ServePeer runs the calls of other nodes.
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -26,6 +26,8 @@
 	deadlineTick = 10 * time.Millisecond
 	// failureWeight is the part of one result in the share of failures.
 	failureWeight = 0.1
+	// loadStep is the change of the number of requests that others are told of.
+	loadStep = 1
 	// downRetry is when requests that meet an upstream that is down should return.
 	downRetry = 300 * time.Millisecond
 )
@@ -38,8 +40,9 @@
 	client  *exchange.Client
 	events  *event.Logger
 	start   time.Time
-	// changed is called without the lock when others should hear of the state.
-	changed func()
+	// changed is called when others should hear of the load, urgent when they should
+	// hear of the state at once. Both may be called with the lock and don't block.
+	changed, urgent func()
 
 	mu       sync.Mutex
 	gate     *gate.Gate
@@ -51,14 +54,15 @@
 	service0 time.Duration
 	paceAt   time.Duration
 	declared UpstreamLoad
+	toldLoad int
 }
 
 // NewSidecar returns the sidecar of the upstream at the address. Changed is called
-// when the state that others should know has changed much.
-func NewSidecar(names Names, service, address string, events *event.Logger, changed func()) *Sidecar {
+// when the load has changed much, urgent when the upstream's state has.
+func NewSidecar(names Names, service, address string, events *event.Logger, changed, urgent func()) *Sidecar {
 	return &Sidecar{
 		names: names, service: service, client: exchange.NewClient(address), events: events, start: time.Now(),
-		changed: changed, gate: gate.New(), waiting: map[*gate.Request]chan *Result{},
+		changed: changed, urgent: urgent, gate: gate.New(), waiting: map[*gate.Request]chan *Result{},
 	}
 }
 
@@ -76,7 +80,7 @@
 	s.mu.Unlock()
 	if verdict == announce.Changed {
 		s.events.Emit(upstreamEvent(a.State), event.Fields{"upstream": a.ID, "born": a.Born, "sequence": a.Sequence, "slots": a.Slots, "state": a.State.String()})
-		s.changed()
+		s.urgent()
 	}
 	return verdict
 }
@@ -89,7 +93,7 @@
 	s.mu.Unlock()
 	if verdict == announce.Changed {
 		s.events.Emit(event.UpstreamDraining, event.Fields{"upstream": id, "born": born, "state": announce.Gone.String()})
-		s.changed()
+		s.urgent()
 	}
 	return verdict
 }
@@ -114,7 +118,7 @@
 	s.Observe(load)
 	if adopted {
 		s.events.Emit(event.UpstreamReady, event.Fields{"upstream": id, "slots": load.Slots, "source": "health"})
-		s.changed()
+		s.urgent()
 	}
 }
 
@@ -124,7 +128,7 @@
 	s.stopping = true
 	s.applyState()
 	s.mu.Unlock()
-	s.changed()
+	s.urgent()
 }
 
 // Running returns the number of calls at the upstream.
@@ -187,6 +191,12 @@
 // withdraws a call that waits and cancels an idempotent one that runs; others
 // run to their end.
 func (s *Sidecar) Run(ctx context.Context, c *Call) *Result {
+	result := s.admit(ctx, c)
+	result.State = s.Status()
+	return result
+}
+
+func (s *Sidecar) admit(ctx context.Context, c *Call) *Result {
 	r, wait, result := s.enter(c)
 	if result != nil {
 		return result
@@ -225,6 +235,7 @@
 	}
 	started, refusal, o := s.gate.Offer(now, r)
 	s.settle(o)
+	s.tellLoad()
 	if refusal != nil {
 		return nil, nil, refused(string(refusal.Reason), refusal.RetryAfter)
 	}
@@ -236,6 +247,16 @@
 	return r, wait, nil
 }
 
+// tellLoad has others told when the load moved far from what they were told. The
+// lock is held; changed does not block.
+func (s *Sidecar) tellLoad() {
+	load := s.gate.Load()
+	if load > s.toldLoad+loadStep || load < s.toldLoad-loadStep {
+		s.toldLoad = load
+		s.changed()
+	}
+}
+
 // settle tells waiting calls what the gate decided. The lock is held.
 func (s *Sidecar) settle(o gate.Outcome) {
 	for _, r := range o.Started {
@@ -342,7 +363,7 @@
 	s.mu.Unlock()
 	if !was {
 		s.events.Emit(event.UpstreamLapsed, event.Fields{"upstream": s.tracker.Current().ID, "error": err.Error()})
-		s.changed()
+		s.urgent()
 	}
 }
 
@@ -359,7 +380,7 @@
 	s.down = false
 	s.applyState()
 	s.mu.Unlock()
-	s.changed()
+	s.urgent()
 }
 
 func (s *Sidecar) observeResult(ok bool) {
@@ -376,6 +397,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.settle(s.gate.Done(s.now(), r, ranToEnd))
+	s.tellLoad()
 	s.service0 = s.gate.Service(r.Class)
 }
 
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -28,7 +28,9 @@
 	current int64
 	credit  [slots]int64
 	initial int64
-	stats   Stats
+	// cost is the number of first sends that pay for one retry.
+	cost  int64
+	stats Stats
 }
 
 // Stats counts what a budget has seen.
@@ -37,8 +39,12 @@
 }
 
 // NewBudget returns a budget that holds one retry.
-func NewBudget() *Budget {
-	return &Budget{now: time.Now, start: time.Now(), initial: sendsPerRetry}
+func NewBudget() *Budget { return NewBudgetOf(sendsPerRetry) }
+
+// NewBudgetOf returns a budget in which the given number of first sends pays for
+// one retry, and that holds one retry.
+func NewBudgetOf(sends int) *Budget {
+	return &Budget{now: time.Now, start: time.Now(), initial: int64(sends), cost: int64(sends)}
 }
 
 // Send records a first send. A request that is itself a system retry must not be
@@ -56,11 +62,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance()
-	if b.available() < sendsPerRetry {
+	if b.available() < b.cost {
 		b.stats.Denied++
 		return false
 	}
-	need := int64(sendsPerRetry)
+	need := b.cost
 	for i := b.current + 1; i <= b.current+slots; i++ {
 		need -= take(&b.credit[i%slots], need)
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -52,7 +52,9 @@
 	Domain        string
 	Service       string
 	ConfigVersion uint64
-	Upstream      Upstream
+	// StoreLost is set while the node cannot read the platform's store.
+	StoreLost bool
+	Upstream  Upstream
 	// Echo is the incarnation of the receiver that the sender knows, or 0.
 	Echo int64
 }
@@ -117,9 +119,7 @@
 	if old.Incarnation != s.Incarnation {
 		m.BlamedUntil, m.Pace = 0, pace.Gauge{}
 	}
-	if s.Upstream.Pace > 0 {
-		m.Pace.Report(now-time.Duration(s.Upstream.PaceAgeMillis)*time.Millisecond, float64(s.Upstream.Pace)/100)
-	}
+	m.reportPace(now)
 	switch {
 	case old.Incarnation == 0:
 		return Joined
@@ -131,6 +131,23 @@
 	return Refreshed
 }
 
+// Refresh takes the state of a member's upstream that came with an answer.
+func (r *Roster) Refresh(now time.Duration, address string, u Upstream) {
+	m := r.members[address]
+	if m == nil || m.Status.Upstream.ID != u.ID {
+		return
+	}
+	m.Status.Upstream, m.Sent = u, 0
+	m.reportPace(now)
+}
+
+func (m *Member) reportPace(now time.Duration) {
+	u := m.Status.Upstream
+	if u.Pace > 0 {
+		m.Pace.Report(now-time.Duration(u.PaceAgeMillis)*time.Millisecond, float64(u.Pace)/100)
+	}
+}
+
 // Member returns the member at the address, or nil.
 func (r *Roster) Member(address string) *Member { return r.members[address] }
 
