Keep the upstream in use for most of a node's stop

Cause: a node that was told to stop refused calls to its upstream at once, though it stays 2.3 s for its callers, and then waited another second for idle connections of other nodes; a node that started waited 300 ms before it looked at its upstream. Change: the upstream closes 700 ms before the node leaves; connections of other nodes are closed when nothing is in hand; the upstream is probed as soon as a table is in force.

--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -30,6 +30,8 @@
 	// unreadyTime is how long a stopping node still takes requests: its callers need
 	// two failed readiness checks, one a second, until they turn to another node.
 	unreadyTime = 2300 * time.Millisecond
+	// finishTime is left of unreadyTime for calls that run when the upstream takes no more.
+	finishTime = 700 * time.Millisecond
 	// stopReserve is left of the time to stop for closing connections.
 	stopReserve = 600 * time.Millisecond
 	// stopPoll is how often a stopping node looks whether it is done.
@@ -67,11 +69,14 @@
 	follower *follower
 	fetcher  *fetcher
 
+	// servers begin with that of the callers.
 	servers   []*http.Server
 	listeners []net.Listener
 	stopping  atomic.Bool
 	ready     atomic.Bool
 	tableAt   atomic.Int64
+	// installed is signalled when the first table is in force.
+	installed chan struct{}
 	wg        sync.WaitGroup
 }
 
@@ -80,7 +85,7 @@
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
-	return &Node{settings: s, ports: p, start: time.Now(), metrics: metrics.NewRegistry()}, nil
+	return &Node{settings: s, ports: p, start: time.Now(), metrics: metrics.NewRegistry(), installed: make(chan struct{}, 1)}, nil
 }
 
 // Provision opens the listeners and connects the parts.
@@ -185,7 +190,7 @@
 // status is what the other nodes are told.
 func (n *Node) status() roster.Status {
 	phase := roster.Serving
-	if n.stopping.Load() {
+	if n.sidecar.Stopped() {
 		phase = roster.Stopping
 	}
 	return roster.Status{
@@ -217,7 +222,9 @@
 
 func (n *Node) install(t *route.Table) {
 	n.ingress.Install(t)
-	n.tableAt.CompareAndSwap(0, int64(time.Since(n.start)))
+	if n.tableAt.CompareAndSwap(0, int64(time.Since(n.start))) {
+		n.installed <- struct{}{}
+	}
 	n.gossip.tellAll()
 }
 
@@ -310,7 +317,11 @@
 // tries an upstream that takes no connections until it does.
 func (n *Node) probe(ctx context.Context) {
 	probed := false
-	for sleep(ctx, downProbe) {
+	select {
+	case <-ctx.Done():
+	case <-n.installed:
+	}
+	for ; ctx.Err() == nil; sleep(ctx, downProbe) {
 		t := n.ingress.Table()
 		if t == nil || (probed && !n.sidecar.Down()) {
 			continue
@@ -341,33 +352,39 @@
 	}
 }
 
-// stop takes the node out of service without cutting a request.
+// stop takes the node out of service without cutting a request. The upstream goes
+// on taking calls for most of the time that the node has to stay for its callers.
 func (n *Node) stop() {
 	begun := time.Now()
 	n.stopping.Store(true)
 	n.ports.Events.Emit(event.NodeDraining, event.Fields{"active": n.ingress.Active(), "running": n.sidecar.Running()})
-	n.sidecar.Stop()
 	n.ingress.CloseConnections()
-	n.gossip.tellAll()
 	limit := begun.Add(n.settings.StopWithin - stopReserve)
+	closed := false
 	for time.Now().Before(limit) {
+		if !closed && time.Since(begun) > unreadyTime-finishTime {
+			n.sidecar.Stop()
+			closed = true
+		}
 		idle := n.ingress.Active() == 0 && n.sidecar.Running() == 0
 		if idle && time.Since(begun) > unreadyTime {
 			break
 		}
 		time.Sleep(stopPoll)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(stopReserve/2))
+	n.closeServers(limit.Add(stopReserve / 2))
+}
+
+// closeServers waits for the callers' requests and then closes all connections.
+func (n *Node) closeServers(limit time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
-	var wg sync.WaitGroup
+	if err := n.servers[0].Shutdown(ctx); err != nil {
+		n.ports.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error(), "during": "stop", "active": n.ingress.Active()})
+	}
 	for _, s := range n.servers {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			if err := s.Shutdown(ctx); err != nil {
-				n.ports.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error(), "during": "stop"})
-			}
-		}()
+		if err := s.Close(); err != nil {
+			n.ports.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error(), "during": "stop"})
+		}
 	}
-	wg.Wait()
 }
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -131,6 +131,13 @@
 	s.urgent()
 }
 
+// Stopped reports whether Stop was called.
+func (s *Sidecar) Stopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
 // Running returns the number of calls at the upstream.
 func (s *Sidecar) Running() int {
 	s.mu.Lock()
