Never reopen an upstream that has said it ends

Change: a statement without a start ends every start before the moment at which it arrives. TestEndedUpstreamIsNotReopenedByItsOwnAnnouncements failed before.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -72,13 +72,26 @@
 	return Same
 }
 
-// Leave takes the statement of an upstream that it is about to end. A zero born
-// means that the statement does not tell its start.
-func (t *Tracker) Leave(id string, born int64) Verdict {
+// Leave takes the statement of an upstream that it is about to end, at the given
+// time in Unix milliseconds. A zero born means that the statement does not tell the
+// start; then every start before now counts as ended.
+func (t *Tracker) Leave(id string, born, now int64) Verdict {
 	cur := t.current
-	if cur.State == Unknown || cur.ID != id || (born != 0 && born < cur.Born) || cur.State == Gone {
+	if cur.State == Unknown {
+		t.current = Announcement{ID: id, State: Gone, Born: orNow(born, now)}
+		return Changed
+	}
+	if cur.ID != id || (born != 0 && born < cur.Born) || cur.State == Gone {
 		return Stale
 	}
 	t.current.State = Gone
+	t.current.Born = orNow(max(cur.Born, born), now)
 	return Changed
 }
+
+func orNow(born, now int64) int64 {
+	if born == 0 {
+		return now
+	}
+	return born
+}
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -35,14 +35,43 @@
 func TestGoneIsFinalForOneStart(t *testing.T) {
 	var tr Tracker
 	tr.Observe(Announcement{ID: "a", State: Ready, Slots: 4, Born: 100, Sequence: 5})
-	tr.Leave("a", 100)
+	tr.Leave("a", 100, 500)
 	if got := tr.Observe(Announcement{ID: "a", State: Ready, Slots: 4, Born: 100, Sequence: 6}); got != Stale {
 		t.Errorf("verdict %v, want stale", got)
 	}
 	if got := tr.Observe(Announcement{ID: "b", State: Ready, Slots: 4, Born: 101, Sequence: 1}); got != Changed {
 		t.Errorf("verdict %v, want changed", got)
 	}
-	if got := tr.Leave("a", 100); got != Stale {
+	if got := tr.Leave("a", 100, 500); got != Stale {
 		t.Errorf("late end of the earlier start: verdict %v, want stale", got)
 	}
 }
+
+// An upstream goes on announcing itself after it said that it ends. Its statement
+// may not tell its start, and the node may have learnt of it without one.
+func TestEndedUpstreamIsNotReopenedByItsOwnAnnouncements(t *testing.T) {
+	const now = 5000
+	tests := []struct {
+		desc  string
+		known *Announcement
+	}{
+		{"known from its health only", &Announcement{ID: "a", State: Ready, Slots: 4}},
+		{"not known yet", nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			var tr Tracker
+			if tt.known != nil {
+				tr.Observe(*tt.known)
+			}
+			tr.Leave("a", 0, now)
+			tr.Observe(Announcement{ID: "a", State: Ready, Slots: 4, Born: 100, Sequence: 30})
+			if got := tr.Current().State; got != Gone {
+				t.Errorf("state %v, want gone", got)
+			}
+			if got := tr.Observe(Announcement{ID: "a", State: Ready, Slots: 4, Born: now + 100, Sequence: 1}); got != Changed {
+				t.Errorf("a later start under the same id: verdict %v, want changed", got)
+			}
+		})
+	}
+}
--- a/pkg/mesh/helper_test.go
+++ b/pkg/mesh/helper_test.go
@@ -198,7 +198,7 @@
 	t.Cleanup(upstream.Close)
 	return Settings{
 		Domain: "d1", Service: service, UpstreamAddress: upstream.Listener.Addr().String(), CallerAddress: freeAddress(t), PeerAddress: freeAddress(t),
-		ReadyAddress: freeAddress(t), AnnounceAddress: freeAddress(t), MetricsAddress: freeAddress(t), StopWithin: 5 * time.Second,
+		ReadyAddress: freeAddress(t), AnnounceAddress: freeAddress(t), MetricsAddress: freeAddress(t), StopWithin: minStop,
 	}
 }
 
--- a/pkg/mesh/node_test.go
+++ b/pkg/mesh/node_test.go
@@ -106,7 +106,9 @@
 func TestStopCutsNoRequest(t *testing.T) {
 	store := newMemoryStore()
 	store.publish(t, 1, "a")
-	a := startNode(t, newSettings(t, "a", 20*time.Millisecond), &access{memoryStore: store})
+	settings := newSettings(t, "a", 20*time.Millisecond)
+	settings.StopWithin = 5 * time.Second
+	a := startNode(t, settings, &access{memoryStore: store})
 	eventually(t, "the upstream is used", func() bool { return a.answers("/a/", "a") })
 	var stopping atomic.Bool
 	var wg sync.WaitGroup
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -88,7 +88,7 @@
 // Leave takes the statement of the upstream that it ends.
 func (s *Sidecar) Leave(id string, born int64) announce.Verdict {
 	s.mu.Lock()
-	verdict := s.tracker.Leave(id, born)
+	verdict := s.tracker.Leave(id, born, time.Now().UnixMilli())
 	s.applyState()
 	s.mu.Unlock()
 	if verdict == announce.Changed {
@@ -131,6 +131,14 @@
 	s.urgent()
 }
 
+// Known returns id and start of the upstream that the sidecar knows.
+func (s *Sidecar) Known() (id string, born int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cur := s.tracker.Current()
+	return cur.ID, cur.Born
+}
+
 // Stopped reports whether Stop was called.
 func (s *Sidecar) Stopped() bool {
 	s.mu.Lock()
