Greet all registered nodes as soon as they are known

Change: registration greets all members at once; the wait before the first read is 60 ms. TestNodesFindEachOtherAtOnce failed before.

--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -20,6 +20,8 @@
 	readWait = 5 * time.Second
 	// rolePause is how often a node that does not read looks whether it should.
 	rolePause = 300 * time.Millisecond
+	// greetTime is left for the first statuses of the others after the start.
+	greetTime = 60 * time.Millisecond
 	// lonelyAfter without any configuration makes a node read for itself.
 	lonelyAfter = time.Second
 	// storeSlack is how long past its wait a read may take.
@@ -82,7 +84,7 @@
 	known, position := false, int64(0)
 	pause, start := firstRetry, time.Now()
 	// The statuses of the others tell first who the readers are.
-	if !sleep(ctx, rolePause) {
+	if !sleep(ctx, greetTime) {
 		return
 	}
 	for ctx.Err() == nil {
--- a/pkg/mesh/gossip.go
+++ b/pkg/mesh/gossip.go
@@ -34,6 +34,8 @@
 	missingPeriod = time.Second
 	// missingAfter is the silence after which a member counts as silent.
 	missingAfter = 2 * time.Second
+	// never is a time before any other.
+	never = -time.Hour
 	// forgetAfter is how long a silent member is kept.
 	forgetAfter = 2 * time.Minute
 )
@@ -58,6 +60,7 @@
 	mu          sync.Mutex
 	incarnation int64
 	sequence    uint64
+	// toldMissing is when silent members were told last; the directory's lock holds.
 	toldMissing time.Duration
 }
 
@@ -71,6 +74,14 @@
 // tellAll asks for a status to be sent to all members now. It never blocks.
 func (g *gossip) tellAll() { notify(g.urgent) }
 
+// greet sends the status to all members now, also to those that were never heard.
+func (g *gossip) greet() {
+	g.dir.mu.Lock()
+	g.toldMissing = never
+	g.dir.mu.Unlock()
+	g.tellAll()
+}
+
 func notify(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -107,7 +118,7 @@
 		case <-g.news:
 			nearNews, farNews = true, true
 		case <-g.urgent:
-			near, far = -time.Hour, -time.Hour
+			near, far = never, never
 		case <-timer.C:
 		}
 		timer.Stop()
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -309,7 +309,7 @@
 	}
 	n.dir.mu.Unlock()
 	n.ports.Events.Emit(event.NodeRegistered, event.Fields{"known": len(addresses)})
-	n.gossip.tellAll()
+	n.gossip.greet()
 	return nil
 }
 
--- a/pkg/mesh/node_test.go
+++ b/pkg/mesh/node_test.go
@@ -19,6 +19,19 @@
 	eventually(t, "a request through the other node", func() bool { return a.answers("/b/", "b") && b.answers("/a/", "a") })
 }
 
+// Nodes that start together know each other as soon as they are registered.
+func TestNodesFindEachOtherAtOnce(t *testing.T) {
+	store := newMemoryStore()
+	store.publish(t, 1, "a", "b")
+	start := time.Now()
+	a := startNode(t, newSettings(t, "a", 0), &access{memoryStore: store})
+	b := startNode(t, newSettings(t, "b", 0), &access{memoryStore: store})
+	eventually(t, "a request through the other node", func() bool { return a.answers("/b/", "b") && b.answers("/a/", "a") })
+	if took := time.Since(start); took > missingPeriod*3/4 {
+		t.Errorf("took %v", took)
+	}
+}
+
 // A change that one node reads is in force on nodes that don't reach the store.
 func TestConfigurationSpreadsWithoutTheStore(t *testing.T) {
 	store := newMemoryStore()
