Run short work first and let it wait until its deadline

Change: work shorter than half of the longest kind at the upstream goes first and waits until its deadline. TestShortWorkGoesFirstAndWaitsUntilItsDeadline failed before.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -8,6 +8,11 @@
 // miss its target in the queue; urgent work goes first, and lesser work that it
 // displaces for good is refused at that moment, not when its deadline passes.
 //
+// Second load pattern: upstreams call each other for short pieces of work while
+// their own requests hold a slot. A call that is refused wastes what its request has
+// done, and costs little to run. Work that is much shorter than the longest kind at
+// the upstream therefore goes first and may wait until its deadline.
+//
 // The package has no clock, socket or log: times are offsets that the caller
 // passes in. A Gate is not safe for concurrent use.
 package gate
@@ -31,6 +36,8 @@
 	// overrun is the part of the expected service time that a request which is
 	// already past it is expected to need still.
 	overrun = 0.3
+	// shortShare of the longest service time makes work short.
+	shortShare = 0.5
 	// lateWaitShare of the target is how long a request that can only be late may wait.
 	lateWaitShare = 8
 	// minRetry is the least time after which a refused request is asked to return.
@@ -257,17 +264,30 @@
 	return o
 }
 
-// sort puts requests that can meet their target before those that cannot, then
+// short reports whether the work of the class takes little of the upstream.
+func (g *Gate) short(class string) bool {
+	longest := time.Duration(0)
+	for _, s := range g.service {
+		longest = max(longest, s)
+	}
+	s, known := g.service[class]
+	return known && float64(s) < shortShare*float64(longest)
+}
+
+// sort puts short work first, then requests that can meet their target before those that cannot, then
 // orders by rank and by the moment of the target.
 func (g *Gate) sort(now time.Duration) {
-	late := func(r *Request) int {
+	class := func(r *Request) int {
+		if g.short(r.Class) {
+			return -1
+		}
 		if now+g.expect(now, r.Class) > r.Target {
 			return 1
 		}
 		return 0
 	}
 	slices.SortStableFunc(g.queue, func(a, b *Request) int {
-		return cmp.Or(cmp.Compare(late(a), late(b)), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Target, b.Target))
+		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Target, b.Target))
 	})
 }
 
@@ -296,7 +316,7 @@
 	if end > r.Deadline {
 		return ReasonDeadline
 	}
-	if end <= r.Target {
+	if end <= r.Target || g.short(r.Class) {
 		return ReasonNone
 	}
 	if start > r.arrived+r.Length/lateWaitShare {
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -83,6 +83,23 @@
 	}
 }
 
+// Calls between upstreams are short and hold up a longer request elsewhere: they go
+// first and are not refused for missing their own target.
+func TestShortWorkGoesFirstAndWaitsUntilItsDeadline(t *testing.T) {
+	g := openGate(t)
+	g.service["long"], g.service["call"] = 300*time.Millisecond, 50*time.Millisecond
+	running := fill(t, g, "long")
+	g.Offer(0, request("long", 0, 0, time.Second, 2*time.Second))
+	call := request("call", 1, 0, 100*time.Millisecond, 600*time.Millisecond)
+	if _, refusal, _ := g.Offer(0, call); refusal != nil {
+		t.Fatalf("the call was refused: %v", refusal.Reason)
+	}
+	o := g.Done(300*time.Millisecond, running[0], true)
+	if len(o.Started) != 1 || o.Started[0] != call {
+		t.Errorf("started %v, want the call", o.Started)
+	}
+}
+
 func TestRequestPastItsDeadlineIsRefused(t *testing.T) {
 	g := openGate(t)
 	running := fill(t, g, "a")
