Prefer the own failure domain more, the more upstreams it has

Cause: on 73 nodes the best of many reports from other failure domains, 150 ms old on average, often only looked better; requests queued there and crossed domains for it. Change: the surcharge for another domain grows from 15 ms by 10 ms for each upstream in the own one, up to five. TestNeighboursOutweighAFarReport shows the rule.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -26,6 +26,8 @@
 	oldReport = 400 * time.Millisecond
 	// staleTolerance is the part of the work that counts as equal for old reports.
 	staleTolerance = 0.15
+	// maxNeighbours bounds the surcharge for upstreams in other failure domains.
+	maxNeighbours = 5
 	// silenceCost is added for each silence beyond the expected status period.
 	silenceCost = 100 * time.Millisecond
 )
@@ -63,11 +65,15 @@
 	// CrossDomain is added for an upstream in another failure domain. It covers
 	// the delay and the price of the bytes.
 	CrossDomain time.Duration
+	// PerNeighbour is added to it for each upstream in the node's own failure domain,
+	// up to maxNeighbours: the more there are, the more likely it is that the best of
+	// many old reports from far away only looks better.
+	PerNeighbour time.Duration
 }
 
 // DefaultCosts fit failure domains that are half a millisecond apart.
 func DefaultCosts() Costs {
-	return Costs{Peer: time.Millisecond, CrossDomain: 8 * time.Millisecond}
+	return Costs{Peer: time.Millisecond, CrossDomain: 15 * time.Millisecond, PerNeighbour: 10 * time.Millisecond}
 }
 
 // Cost returns the expected time to the answer of work that takes the given time
@@ -99,6 +105,7 @@
 	if len(candidates) == 0 {
 		return -1, 0
 	}
+	c.CrossDomain += time.Duration(neighbours(candidates)) * c.PerNeighbour
 	costs := make([]time.Duration, len(candidates))
 	best := 0
 	for i, u := range candidates {
@@ -122,6 +129,17 @@
 	return best, costs[best]
 }
 
+// neighbours counts the upstreams in the node's own failure domain.
+func neighbours(candidates []Candidate) int {
+	n := 0
+	for _, u := range candidates {
+		if u.SameDomain {
+			n++
+		}
+	}
+	return min(n, maxNeighbours)
+}
+
 // tolerance is the difference in cost that halves a candidate's chance or more.
 func tolerance(u Candidate, work time.Duration) time.Duration {
 	age := min(1, float64(u.Age)/float64(oldReport))
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -64,6 +64,23 @@
 	}
 }
 
+// With several upstreams in the own failure domain, a far one that looks somewhat
+// better is not worth the way; with one near upstream it is.
+func TestNeighboursOutweighAFarReport(t *testing.T) {
+	far := idle("far")
+	far.SameDomain, far.Pace = false, 0.2
+	near := []Candidate{far, idle("a")}
+	if got := share(near, 0); got < 0.9 {
+		t.Errorf("one near upstream: the far one gets %.0f%%", 100*got)
+	}
+	for range 4 {
+		near = append(near, idle("b"))
+	}
+	if got := share(near, 0); got > 0.3 {
+		t.Errorf("five near upstreams: the far one gets %.0f%%", 100*got)
+	}
+}
+
 func TestNoCandidate(t *testing.T) {
 	if i, _ := DefaultCosts().Pick(nil, work); i != -1 {
 		t.Errorf("picked %d of none", i)
