Refuse requests that crash upstreams and follow the settings file

Cause: the mesh had no protection against a request that crashes each upstream that runs it, and ignored changes of its settings file. Change: when an upstream is gone after a lost answer, the requests in flight are suspects; nodes tell each other their counts, and the third crash blocks the request for a minute. The settings file is read on SIGHUP and every 2 s; a new store address takes effect at once. TestRequestThatCrashesUpstreamsIsRefused: 6 arrivals without the limit, 3 with it.

--- a/cmd/mtmesh/main.go
+++ b/cmd/mtmesh/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/urfave/cli/v3"
@@ -48,12 +49,12 @@
 			if err != nil {
 				return fmt.Errorf("log level: %w", err)
 			}
-			return run(ctx, s, event.Format(format), severity)
+			return run(ctx, path, s, event.Format(format), severity)
 		},
 	}
 }
 
-func run(ctx context.Context, s platform.Settings, format event.Format, level log.Level) error {
+func run(ctx context.Context, path string, s platform.Settings, format event.Format, level log.Level) error {
 	out := event.NewAsyncWriter(os.Stdout)
 	defer out.Close()
 	events := event.NewLogger(out, format, level)
@@ -69,8 +70,41 @@
 		events.Emit(event.NodeFailed, event.Fields{"error": err.Error()})
 		return err
 	}
-	signal.Ignore(syscall.SIGPIPE, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancel()
+	go reload(ctx, path, s, hup, store, events)
 	return node.Run(ctx)
 }
+
+// reloadPeriod is how often the settings file is read without a signal.
+const reloadPeriod = 2 * time.Second
+
+// reload follows changes of the settings file, with a signal or without. The
+// store's address takes effect at once; other settings need a restart, since they
+// name the node's own listeners.
+func reload(ctx context.Context, path string, current platform.Settings, hup <-chan os.Signal, store *platform.Store, events *event.Logger) {
+	tick := time.NewTicker(reloadPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-tick.C:
+		}
+		next, err := platform.ReadSettings(path)
+		if err != nil {
+			events.Emit(event.SettingsInvalid, event.Fields{"error": err.Error()})
+			continue
+		}
+		if next == current {
+			continue
+		}
+		store.MoveTo(next.Store)
+		events.Emit(event.SettingsReloaded, event.Fields{"store": next.Store, "restart_needed": next.Node != current.Node})
+		current = next
+	}
+}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -100,6 +100,9 @@
 	keepAlive time.Duration
 }
 
+// Address returns the upstream's address.
+func (c *Client) Address() string { return c.address }
+
 // Dials returns the number of connections that were opened.
 func (c *Client) Dials() int64 {
 	c.mu.Lock()
@@ -134,6 +137,15 @@
 	return resp, nil
 }
 
+// Reachable reports whether the upstream takes connections.
+func (c *Client) Reachable() error {
+	n, err := net.DialTimeout("tcp", c.address, dialTimeout)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	return n.Close()
+}
+
 // take returns a kept connection that looks sound, or a new one.
 func (c *Client) take(ctx context.Context, once bool) (*conn, error) {
 	for {
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -195,7 +195,7 @@
 	}
 	return roster.Status{
 		Address: n.settings.PeerAddress, Phase: phase, Domain: n.settings.Domain, Service: n.settings.Service,
-		ConfigVersion: n.follower.version(), StoreLost: n.follower.storeLost(), Upstream: n.sidecar.Status(),
+		ConfigVersion: n.follower.version(), StoreLost: n.follower.storeLost(), Upstream: n.sidecar.Status(), Suspects: n.sidecar.Suspects(),
 	}
 }
 
@@ -205,6 +205,7 @@
 		"member": s.Address, "incarnation": s.Incarnation, "sequence": s.Sequence, "service": s.Service, "phase": int(s.Phase),
 		"open": s.Upstream.Open, "upstream": s.Upstream.ID, "config": s.ConfigVersion,
 	}
+	n.sidecar.Suspected(s.Address, s.Suspects)
 	switch change {
 	case roster.Joined:
 		n.ports.Events.Emit(event.MemberJoined, fields)
--- a/pkg/relay/helper_test.go
+++ b/pkg/relay/helper_test.go
@@ -45,18 +45,20 @@
 		u.answer = func(c net.Conn, r *http.Request) { writeOK(c, r, "hello") }
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go u.serve(c)
-		}
-	}()
+	go u.accept(l)
 	return u
 }
 
+func (u *fakeUpstream) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go u.serve(c)
+	}
+}
+
 func (u *fakeUpstream) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
--- a/pkg/relay/ingress_test.go
+++ b/pkg/relay/ingress_test.go
@@ -193,3 +193,39 @@
 		t.Errorf("%d requests reached the upstream", n)
 	}
 }
+
+// A request that crashes each upstream that runs it is refused after its third
+// crash; other requests still run.
+func TestRequestThatCrashesUpstreamsIsRefused(t *testing.T) {
+	arrivals := 0
+	var u *fakeUpstream
+	u = startUpstream(t, func(c net.Conn, r *http.Request) {
+		if r.URL.Path == "/safe/poison" {
+			arrivals++
+			_ = u.listener.Close()
+			reset(c, r)
+			return
+		}
+		writeOK(c, r, "fine")
+	})
+	s := newTestSidecar(u, 4)
+	for range 6 {
+		c := &Call{Service: "svc", Method: http.MethodGet, URI: "/safe/poison", Host: "h", Header: http.Header{"X-Request-Id": {"a"}}, Timeout: time.Second, Target: time.Second, TargetLeft: time.Second}
+		s.Run(context.Background(), c)
+		_ = u.listener.Close()
+		l, err := net.Listen("tcp", s.client.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		u.listener = l
+		go u.accept(l)
+		s.Up()
+	}
+	if arrivals != 3 {
+		t.Errorf("%d arrivals, want 3", arrivals)
+	}
+	c := &Call{Service: "svc", Method: http.MethodGet, URI: "/safe/good", Host: "h", Header: http.Header{"X-Request-Id": {"a"}}, Timeout: time.Second, Target: time.Second, TargetLeft: time.Second}
+	if r := s.Run(context.Background(), c); r.Kind != Answered {
+		t.Errorf("another request: %v %s", r.Kind, r.Reason)
+	}
+}
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -15,7 +15,9 @@
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/exchange"
 	"github.com/mulberrytray/mulberrytray/pkg/gate"
+	"github.com/mulberrytray/mulberrytray/pkg/quarantine"
 	"github.com/mulberrytray/mulberrytray/pkg/roster"
+	"github.com/mulberrytray/mulberrytray/pkg/suspect"
 )
 
 const (
@@ -55,6 +57,9 @@
 	paceAt   time.Duration
 	declared UpstreamLoad
 	toldLoad int
+	// inFlight holds the fingerprints of the requests at the upstream.
+	inFlight map[*gate.Request]uint64
+	suspects *suspect.Table
 }
 
 // NewSidecar returns the sidecar of the upstream at the address. Changed is called
@@ -63,6 +68,7 @@
 	return &Sidecar{
 		names: names, service: service, client: exchange.NewClient(address), events: events, start: time.Now(),
 		changed: changed, urgent: urgent, gate: gate.New(), waiting: map[*gate.Request]chan *Result{},
+		inFlight: map[*gate.Request]uint64{}, suspects: suspect.New(),
 	}
 }
 
@@ -302,6 +308,11 @@
 		s.done(r, false)
 		return refused(string(gate.ReasonDeadline), 0)
 	}
+	print := quarantine.Fingerprint(c.Service+c.Caller, c.Method, c.URI, c.Length, c.Body)
+	if !s.begin(r, print) {
+		s.done(r, false)
+		return refused("crashes-upstreams", 0)
+	}
 	if !c.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
@@ -310,10 +321,12 @@
 	if err != nil {
 		result := s.failure(ctx, err)
 		cancel()
+		s.checkCrash(result)
 		s.done(r, false)
 		return result
 	}
 	result := s.answer(c, resp)
+	s.answered(print)
 	ranToEnd := result.Kind == Answered && result.Status < http.StatusInternalServerError
 	if result.Rest == nil {
 		cancel()
@@ -324,6 +337,58 @@
 	return result
 }
 
+// begin notes a request that is about to run, unless it crashes upstreams.
+func (s *Sidecar) begin(r *gate.Request, print uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.suspects.Blocked(s.now(), print) {
+		return false
+	}
+	s.inFlight[r] = print
+	return true
+}
+
+func (s *Sidecar) answered(print uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects.Answered(print)
+}
+
+// checkCrash looks whether the upstream is gone after an answer was lost. If it is,
+// all requests in flight are suspects.
+func (s *Sidecar) checkCrash(lost *Result) {
+	if lost.Kind != Failed || lost.TimedOut || s.Down() {
+		return
+	}
+	err := s.client.Reachable()
+	if err == nil {
+		return
+	}
+	s.mu.Lock()
+	var prints []uint64
+	for _, print := range s.inFlight {
+		prints = append(prints, print)
+	}
+	s.suspects.Crashed(s.now(), prints)
+	s.mu.Unlock()
+	s.events.Emit(event.UpstreamCrashed, event.Fields{"suspects": len(prints), "error": err.Error()})
+	s.setDown(err)
+}
+
+// Suspects returns the requests that may have crashed the upstream.
+func (s *Sidecar) Suspects() []suspect.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspects.Own(s.now())
+}
+
+// Suspected takes the suspects of another node.
+func (s *Sidecar) Suspected(node string, entries []suspect.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects.Told(s.now(), node, entries)
+}
+
 // request returns the call as the upstream gets it.
 func (s *Sidecar) request(c *Call, left time.Duration) *exchange.Request {
 	h := c.Header.Clone()
@@ -411,6 +476,7 @@
 func (s *Sidecar) done(r *gate.Request, ranToEnd bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.inFlight, r)
 	s.settle(s.gate.Done(s.now(), r, ranToEnd))
 	s.tellLoad()
 	s.service0 = s.gate.Service(r.Class)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mulberrytray/mulberrytray/pkg/pace"
+	"github.com/mulberrytray/mulberrytray/pkg/suspect"
 )
 
 // Phase is the part of its life that a node is in.
@@ -55,6 +56,8 @@
 	// StoreLost is set while the node cannot read the platform's store.
 	StoreLost bool
 	Upstream  Upstream
+	// Suspects are requests that were in flight when the node's upstream ended.
+	Suspects []suspect.Entry
 	// Echo is the incarnation of the receiver that the sender knows, or 0.
 	Echo int64
 }
