--- a/pkg/mesh/helper_test.go
+++ b/pkg/mesh/helper_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -156,7 +157,7 @@
 	RequestID: "X-Request-Id", TimeoutMillis: "X-Timeout-Ms", Seal: "X-Seal", ExpectUpstream: "X-Expect", UpstreamID: "X-Upstream",
 	NotRun: "X-Not-Run", Load: "X-Load", CallerService: "X-Caller-Service",
 	ParseLoad: func(s string) (relay.UpstreamLoad, bool) {
-		var l relay.UpstreamLoad
+		l := relay.UpstreamLoad{Pace: 1}
 		_, err := fmt.Sscanf(s, "%d", &l.Slots)
 		return l, err == nil
 	},
@@ -202,6 +203,20 @@
 	}
 }
 
+// countHealth returns settings whose upstream counts the requests for its health.
+func countHealth(t *testing.T, count *atomic.Int64) Settings {
+	t.Helper()
+	s := newSettings(t, "a", 0)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		count.Add(1)
+		w.Header().Set("X-Upstream", "up-a")
+		w.Header().Set("X-Load", "8")
+	}))
+	t.Cleanup(upstream.Close)
+	s.UpstreamAddress = upstream.Listener.Addr().String()
+	return s
+}
+
 func startNode(t *testing.T, s Settings, a *access) *testNode {
 	t.Helper()
 	n, err := New(s, Ports{
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -36,8 +36,6 @@
 	stopReserve = 600 * time.Millisecond
 	// stopPoll is how often a stopping node looks whether it is done.
 	stopPoll = 20 * time.Millisecond
-	// downProbe is how often an upstream that takes no connections is tried.
-	downProbe = 300 * time.Millisecond
 	// dropReport is how often dropped log lines are reported.
 	dropReport = 5 * time.Second
 )
@@ -314,34 +312,6 @@
 	return nil
 }
 
-// probe reads the upstream's id and load when the node starts beside it, and
-// tries an upstream that takes no connections until it does.
-func (n *Node) probe(ctx context.Context) {
-	probed := false
-	select {
-	case <-ctx.Done():
-	case <-n.installed:
-	}
-	for ; ctx.Err() == nil; sleep(ctx, downProbe) {
-		t := n.ingress.Table()
-		if t == nil || (probed && !n.sidecar.Down()) {
-			continue
-		}
-		svc := t.Services[n.settings.Service]
-		if svc.HealthPath == "" {
-			continue
-		}
-		limit, cancel := context.WithTimeout(ctx, downProbe)
-		err := n.sidecar.Probe(limit, svc.HealthPath, n.settings.UpstreamAddress)
-		cancel()
-		if err == nil {
-			probed = true
-		} else if !probed {
-			n.ports.Events.Emit(event.ProbeFailed, event.Fields{"error": err.Error()})
-		}
-	}
-}
-
 // reportDrops logs how many lines were dropped since the last report.
 func (n *Node) reportDrops(ctx context.Context) {
 	last := int64(0)
--- a/pkg/mesh/node_test.go
+++ b/pkg/mesh/node_test.go
@@ -176,6 +176,23 @@
 	}
 }
 
+// The probes of an idle upstream stay within the rate of the settings.
+func TestProbesKeepTheirBudget(t *testing.T) {
+	var count atomic.Int64
+	settings := countHealth(t, &count)
+	settings.ProbesPerSecond = 4
+	store := newMemoryStore()
+	store.publish(t, 1, "a")
+	startNode(t, settings, &access{memoryStore: store})
+	eventually(t, "first probe", func() bool { return count.Load() > 0 })
+	before := count.Load()
+	const seconds = 2
+	time.Sleep(seconds * time.Second)
+	if n := count.Load() - before; n > seconds*4+1 {
+		t.Errorf("%d probes in %d s", n, seconds)
+	}
+}
+
 func TestSettingsAreChecked(t *testing.T) {
 	valid := Settings{
 		Domain: "d", Service: "s", UpstreamAddress: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", PeerAddress: "127.0.0.1:3",
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -186,10 +186,13 @@
 	return u
 }
 
-// PaceAge returns the time since the upstream last stated its pace.
+// PaceAge returns the time since the upstream last stated its pace, 0 if it never did.
 func (s *Sidecar) PaceAge() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.paceAt == 0 {
+		return 0
+	}
 	return s.now() - s.paceAt
 }
 
