Do not blame a node for callers who leave

Change: a call that ends because its caller left has a reason of its own; only a node without an answer is avoided. TestCallersWhoLeaveDoNotBlameTheNode failed before.

--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -133,7 +133,7 @@
 	if r.State.ID != "" {
 		d.roster.Refresh(now, address, r.State)
 	}
-	if c.Address != "" && (r.Reason == relay.ReasonPeerUnreachable || (r.Kind == relay.Failed && r.Ran == 0)) {
+	if r.Reason == relay.ReasonPeerUnreachable || r.Reason == relay.ReasonPeerFailed {
 		m.BlamedUntil = now + blameTime
 	}
 	if r.Kind == relay.Answered && r.Ran > 0 {
--- /dev/null
+++ b/pkg/mesh/directory_test.go
@@ -0,0 +1,42 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/relay"
+	"github.com/mulberrytray/mulberrytray/pkg/roster"
+)
+
+// A node is avoided after it gave no answer, but not because callers left: when many
+// leave early, that would take sound nodes out of the choice.
+func TestCallersWhoLeaveDoNotBlameTheNode(t *testing.T) {
+	silent := freeAddress(t) // nobody listens there
+	tests := []struct {
+		desc   string
+		cancel bool
+		blamed bool
+	}{{"caller left", true, false}, {"no connection", false, true}}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			d := newDirectory("127.0.0.1:1", "d1", time.Now())
+			d.roster.Observe(d.now(), roster.Status{Address: silent, Incarnation: 1, Sequence: 1, Phase: roster.Serving, Service: "a", Upstream: roster.Upstream{ID: "u", Open: true, Limit: 4}})
+			choice, ok := d.Choose("a", "r", nil)
+			if !ok {
+				t.Fatal("no upstream")
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if tt.cancel {
+				cancel()
+			}
+			c := &relay.Call{Method: http.MethodGet, Header: http.Header{}, Timeout: time.Second}
+			d.Ended(choice, "r", relay.NewHTTPPeers().Call(ctx, choice.Address, c))
+			if blamed := d.roster.Member(silent).BlamedUntil > 0; blamed != tt.blamed {
+				t.Errorf("blamed %v, want %v", blamed, tt.blamed)
+			}
+		})
+	}
+}
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -84,8 +84,16 @@
 	Failed Kind = "failed"
 )
 
-// ReasonPeerUnreachable is the reason of calls to a node that takes no connections.
-const ReasonPeerUnreachable = "peer-unreachable"
+// Reasons of calls that failed on the way to another node.
+const (
+	// ReasonPeerUnreachable is for a node that takes no connections.
+	ReasonPeerUnreachable = "peer-unreachable"
+	// ReasonPeerFailed is for a node that gave no answer.
+	ReasonPeerFailed = "peer-failed"
+
+	// reasonCallerLeft is for a call that nobody waits for any more.
+	reasonCallerLeft = "caller-left"
+)
 
 // Result is how a call ended at one upstream.
 type Result struct {
--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -283,7 +283,7 @@
 		case r := <-done:
 			return r
 		default:
-			return failed("caller-left", true)
+			return failed(reasonCallerLeft, true)
 		}
 	}
 }
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -89,6 +89,9 @@
 	if err != nil {
 		timedOut := errors.Is(limit.Err(), context.DeadlineExceeded)
 		cancel()
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return failed(reasonCallerLeft, false)
+		}
 		return peerFailure(err, timedOut)
 	}
 	result := peerResult(resp)
@@ -131,7 +134,7 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return refused(ReasonPeerUnreachable, downRetry)
 	}
-	result := failed("peer-failed", timedOut)
+	result := failed(ReasonPeerFailed, timedOut)
 	result.Detail = fmt.Errorf("%w: %w", errPeer, err).Error()
 	return result
 }
