Serve gauges of the node and log when an upstream is down or back

Cause: metrics showed request timers only, and an upstream without connections was logged as a lapsed lease. Change: gauges for the members, the configuration, the log, and the upstream's queue, pace and failures; events 1308 and 1309.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -42,6 +42,8 @@
 	UpstreamCrashed   = Event{1305, log.ErrorLevel, "upstream crashed with requests in flight"}
 	RequestBlocked    = Event{1306, log.ErrorLevel, "request blocked after crashing upstreams"}
 	RequestCleared    = Event{1307, log.InfoLevel, "suspect request cleared"}
+	UpstreamDown      = Event{1308, log.WarnLevel, "upstream takes no connections"}
+	UpstreamUp        = Event{1309, log.InfoLevel, "upstream takes connections again"}
 )
 
 // Events of requests, 1400 to 1499.
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -169,28 +169,28 @@
 	return &conn{Conn: n, r: bufio.NewReader(n)}, nil
 }
 
-// pop takes the connection that was used last.
+// pop takes the connection that was used last, if it may still be used. If that one
+// is too old, all are.
 func (c *Client) pop(once bool) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
-	for len(c.idle) > 0 {
-		k := c.idle[len(c.idle)-1]
-		age := now.Sub(k.idleSince)
-		if age > k.keepAlive {
-			for _, old := range c.idle {
-				_ = old.Close()
-			}
-			c.idle = nil
-			return nil
-		}
-		if once && age > freshIdle {
-			return nil
+	if len(c.idle) == 0 {
+		return nil
+	}
+	k := c.idle[len(c.idle)-1]
+	age := time.Since(k.idleSince)
+	if age > k.keepAlive {
+		for _, old := range c.idle {
+			_ = old.Close()
 		}
-		c.idle = c.idle[:len(c.idle)-1]
-		return k
+		c.idle = nil
+		return nil
 	}
-	return nil
+	if once && age > freshIdle {
+		return nil
+	}
+	c.idle = c.idle[:len(c.idle)-1]
+	return k
 }
 
 func (c *Client) keep(k *conn, header http.Header) {
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -109,6 +109,7 @@
 	n.ingress.Provision()
 	n.follower = &follower{configs: p.Configs, events: p.Events, install: n.install, role: n.dir.reader}
 	n.fetcher = newFetcher(n.follower, n.peers, p.Events)
+	n.gauges()
 	return n.listen()
 }
 
@@ -118,6 +119,23 @@
 	return d.roster.Len()
 }
 
+// gauges registers what is read when the metrics are asked for.
+func (n *Node) gauges() {
+	for name, value := range map[string]func() int64{
+		"requests.active":   n.ingress.Active,
+		"members":           func() int64 { return int64(n.dir.len()) },
+		"config.version":    func() int64 { return int64(n.follower.version()) },
+		"log.dropped":       n.ports.Dropped,
+		"upstream.dials":    n.sidecar.Dials,
+		"upstream.running":  func() int64 { return int64(n.sidecar.Status().Running) },
+		"upstream.queued":   func() int64 { return int64(n.sidecar.Status().Queued) },
+		"upstream.pace":     func() int64 { return int64(n.sidecar.Status().Pace) },
+		"upstream.failures": func() int64 { return int64(n.sidecar.Status().FailurePermille) },
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, n.metrics, value)
+	}
+}
+
 func (n *Node) listen() error {
 	s := n.settings
 	callers := &http.Server{Handler: n.ingress, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}
--- a/pkg/mesh/node_test.go
+++ b/pkg/mesh/node_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -193,6 +195,27 @@
 	}
 }
 
+func TestMetricsAreServed(t *testing.T) {
+	store := newMemoryStore()
+	store.publish(t, 4, "a")
+	a := startNode(t, newSettings(t, "a", 0), &access{memoryStore: store})
+	eventually(t, "an answer", func() bool { return a.answers("/a/", "a") })
+	resp, err := http.Get("http://" + a.settings.MetricsAddress + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range []string{"mulberrytray_config_version 4", "mulberrytray_request_answered_count", "mulberrytray_upstream_queued 0"} {
+		if !strings.Contains(string(b), line) {
+			t.Errorf("no %q", line)
+		}
+	}
+}
+
 func TestSettingsAreChecked(t *testing.T) {
 	valid := Settings{
 		Domain: "d", Service: "s", UpstreamAddress: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", PeerAddress: "127.0.0.1:3",
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -152,6 +152,9 @@
 	return s.stopping
 }
 
+// Dials returns the number of connections that were opened to the upstream.
+func (s *Sidecar) Dials() int64 { return s.client.Dials() }
+
 // Running returns the number of calls at the upstream.
 func (s *Sidecar) Running() int {
 	s.mu.Lock()
@@ -445,7 +448,8 @@
 	s.applyState()
 	s.mu.Unlock()
 	if !was {
-		s.events.Emit(event.UpstreamLapsed, event.Fields{"upstream": s.tracker.Current().ID, "error": err.Error()})
+		id, _ := s.Known()
+		s.events.Emit(event.UpstreamDown, event.Fields{"upstream": id, "error": err.Error()})
 		s.urgent()
 	}
 }
@@ -463,6 +467,8 @@
 	s.down = false
 	s.applyState()
 	s.mu.Unlock()
+	id, born := s.Known()
+	s.events.Emit(event.UpstreamUp, event.Fields{"upstream": id, "born": born})
 	s.urgent()
 }
 
