Add a fault soak on real processes and a stand-in of the platform's store

The soak starts mtmesh processes, harms them by signals, a loopback proxy to the store, a store and upstreams that misbehave, and checks: at most once, "not run", whole answers, nothing after leaving, configuration in force and never older, recovery.

--- /dev/null
+++ b/internal/soak/vm.go
@@ -0,0 +1,143 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/platform"
+	"github.com/mulberrytray/mulberrytray/platform/standin"
+)
+
+// vm is an upstream and the node process beside it.
+type vm struct {
+	name, binary, dir string
+	service           string
+	app               net.Listener
+	outbound, ready   string
+	control           string
+	store             *proxy
+	upstream          *standin.Upstream
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+	// started counts the starts of the node, disturbed is when it was last harmed.
+	started   int
+	disturbed time.Time
+}
+
+// newVM starts the upstream; the node is started by start.
+func newVM(name, binary, dir, service, store string, ran func(standin.Run)) (*vm, error) {
+	app, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p, err := newProxy(store)
+	if err != nil {
+		return nil, err
+	}
+	addresses, ports, err := freePorts()
+	if err != nil {
+		return nil, err
+	}
+	v := &vm{name: name, binary: binary, dir: dir, service: service, app: app, outbound: addresses[0], ready: addresses[1], control: addresses[2], store: p}
+	v.upstream = &standin.Upstream{
+		ID: "u-" + name, Service: service, Address: app.Addr().String(), Control: v.control, Slots: 10, Work: 20 * time.Millisecond, Ran: ran,
+	}
+	v.upstream.Start()
+	go func() { _ = http.Serve(app, v.upstream) }()
+	file := standin.Settings("z"+name[len(name)-1:], service, app.Addr().String(), addresses[0], addresses[1], addresses[2], p.address(), ports)
+	return v, os.WriteFile(v.settings(), []byte(file), 0o600)
+}
+
+func (v *vm) settings() string { return filepath.Join(v.dir, v.name+".toml") }
+
+// freePorts returns three addresses and two ports that are free now.
+func freePorts() (addresses [3]string, ports [2]int, err error) {
+	var listeners []net.Listener
+	defer func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}()
+	for i := range 5 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return addresses, ports, err
+		}
+		listeners = append(listeners, l)
+		if i < 3 {
+			addresses[i] = l.Addr().String()
+		} else {
+			ports[i-3] = l.Addr().(*net.TCPAddr).Port
+		}
+	}
+	return addresses, ports, nil
+}
+
+// start starts the node; its log goes to a file.
+func (v *vm) start() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	log, err := os.OpenFile(filepath.Join(v.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	c := exec.Command(v.binary)
+	c.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settings())
+	c.Stdout, c.Stderr = log, log
+	if err := c.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	go func() {
+		_ = c.Wait()
+		close(ended)
+	}()
+	v.process, v.ended = c, ended
+	v.started++
+	v.disturbed = time.Now()
+	return nil
+}
+
+// signal sends a signal to the node.
+func (v *vm) signal(s syscall.Signal) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.disturbed = time.Now()
+	if err := v.process.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("%s: %w", v.name, err)
+	}
+	return nil
+}
+
+// wait returns when the node's process has ended.
+func (v *vm) wait() {
+	v.mu.Lock()
+	ended := v.ended
+	v.mu.Unlock()
+	<-ended
+}
+
+// touch notes that the VM is disturbed now.
+func (v *vm) touch() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.disturbed = time.Now()
+}
+
+// state returns the number of starts and the time since the last disturbance.
+func (v *vm) state() (starts int, calm time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.started, time.Since(v.disturbed)
+}
