Refuse requests that a stopping node could not finish

Its listeners empty their queue before they close (pkg/drain, moved from pkg/node). TestStopAnswersCallersThatKeepComing failed before.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -11,7 +11,10 @@
 
 // seeds are played in CI: one short run, and each seed that ever failed, with a line
 // on its cause.
-var seeds = []uint64{1}
+//
+// Seed 130 failed once: the port of one node was given to another while it was free,
+// so the callers of vm4 asked a stranger. Ports now lie outside the kernel's range.
+var seeds = []uint64{1, 130}
 
 func TestSoak(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -60,24 +61,43 @@
 
 func (v *vm) settings() string { return filepath.Join(v.dir, v.name+".toml") }
 
-// freePorts returns three addresses and two ports that are free now.
-func freePorts() (addresses [3]string, ports [2]int, err error) {
-	var listeners []net.Listener
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
+// Ports of the nodes are below the range that the kernel takes for connections, so
+// that they stay free while a node is down.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+	// portsPerRun keeps runs at the same time apart.
+	portsPerRun = 600
+)
+
+var nextPort = firstPort + os.Getpid()*portsPerRun%(lastPort-firstPort)
+
+// freePort returns the next port that nobody listens on.
+func freePort() (int, error) {
+	for range lastPort - firstPort {
+		nextPort++
+		if nextPort >= lastPort {
+			nextPort = firstPort
 		}
-	}()
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(nextPort)))
+		if err == nil {
+			return nextPort, l.Close()
+		}
+	}
+	return 0, errors.New("no free port")
+}
+
+// freePorts returns three addresses and two ports.
+func freePorts() (addresses [3]string, ports [2]int, err error) {
 	for i := range 5 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		port, err := freePort()
 		if err != nil {
 			return addresses, ports, err
 		}
-		listeners = append(listeners, l)
 		if i < 3 {
-			addresses[i] = l.Addr().String()
+			addresses[i] = net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 		} else {
-			ports[i-3] = l.Addr().(*net.TCPAddr).Port
+			ports[i-3] = port
 		}
 	}
 	return addresses, ports, nil
--- a/pkg/node/drainlistener.go
+++ b/pkg/drain/listener.go
@@ -1,4 +1,5 @@
-package node
+// Package drain closes a listener without resetting connections that wait in its queue.
+package drain
 
 import (
 	"net"
@@ -14,23 +15,24 @@
 	closeLimit = 100 * time.Millisecond
 )
 
-// drainListener accepts the connections that wait in the kernel's queue before it
+// Listener accepts the connections that wait in the kernel's queue before it
 // closes. The kernel resets those that are in the queue of a socket that is closed,
 // and a request may already be on its way on them. Safe for concurrent use by one
 // goroutine that accepts and others that close.
-type drainListener struct {
+type Listener struct {
 	*net.TCPListener
 	closing atomic.Bool
 	closed  chan struct{}
 	once    sync.Once
 }
 
-func newDrainListener(l *net.TCPListener) *drainListener {
-	return &drainListener{TCPListener: l, closed: make(chan struct{})}
+// NewListener returns a listener that closes without losing connections.
+func NewListener(l *net.TCPListener) *Listener {
+	return &Listener{TCPListener: l, closed: make(chan struct{})}
 }
 
 // Accept implements net.Listener.
-func (l *drainListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	if !l.closing.Load() {
 		c, err := l.TCPListener.Accept()
 		if err == nil || !l.closing.Load() {
@@ -47,7 +49,7 @@
 	return c, nil
 }
 
-func (l *drainListener) finish() {
+func (l *Listener) finish() {
 	l.once.Do(func() {
 		_ = l.TCPListener.Close()
 		close(l.closed)
@@ -55,7 +57,7 @@
 }
 
 // Close implements net.Listener. It returns when the queue is empty.
-func (l *drainListener) Close() error {
+func (l *Listener) Close() error {
 	if l.closing.CompareAndSwap(false, true) {
 		_ = l.SetDeadline(time.Now())
 	}
--- a/pkg/node/drainlistener_test.go
+++ b/pkg/drain/listener_test.go
@@ -1,4 +1,4 @@
-package node
+package drain
 
 import (
 	"errors"
@@ -29,7 +29,7 @@
 		}
 		conns = append(conns, c)
 	}
-	l := newDrainListener(tcp.(*net.TCPListener))
+	l := NewListener(tcp.(*net.TCPListener))
 	srv := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 	go func() { _ = l.Close() }()
 	for !l.closing.Load() {
--- a/pkg/mesh/helper_test.go
+++ b/pkg/mesh/helper_test.go
@@ -251,14 +251,16 @@
 }
 
 // ask sends one request to the node's callers' address and returns status and body.
-func (n *testNode) ask(path string) (int, string, error) {
+func (n *testNode) ask(path string) (int, string, error) { return n.askWith(http.DefaultClient, path) }
+
+func (n *testNode) askWith(client *http.Client, path string) (int, string, error) {
 	req, err := http.NewRequest(http.MethodGet, "http://"+n.settings.CallerAddress+path, nil)
 	if err != nil {
 		return 0, "", err
 	}
 	req.Host = "h"
 	req.Header.Set("X-Request-Id", "id")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return 0, "", err
 	}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/mulberrytray/mulberrytray/pkg/drain"
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/relay"
 	"github.com/mulberrytray/mulberrytray/pkg/roster"
@@ -161,7 +162,8 @@
 		if err != nil {
 			return fmt.Errorf("%s listener: %w", l.name, err)
 		}
-		n.servers, n.listeners = append(n.servers, l.server), append(n.listeners, listener)
+		n.servers = append(n.servers, l.server)
+		n.listeners = append(n.listeners, drain.NewListener(listener.(*net.TCPListener)))
 	}
 	return nil
 }
@@ -356,8 +358,12 @@
 			closed = true
 		}
 		idle := n.ingress.Active() == 0 && n.sidecar.Running() == 0
-		if idle && time.Since(begun) > unreadyTime {
-			break
+		if time.Since(begun) > unreadyTime {
+			if idle {
+				break
+			}
+			// Callers that still come may have no other node to go to.
+			n.ingress.LeaveAt(limit)
 		}
 		time.Sleep(stopPoll)
 	}
@@ -368,8 +374,12 @@
 func (n *Node) closeServers(limit time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
-	if err := n.servers[0].Shutdown(ctx); err != nil {
-		n.ports.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error(), "during": "stop", "active": n.ingress.Active()})
+	// A connection that was accepted while the listener closed is known to the second.
+	for range 2 {
+		if err := n.servers[0].Shutdown(ctx); err != nil {
+			n.ports.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error(), "during": "stop", "active": n.ingress.Active()})
+		}
+		time.Sleep(stopPoll)
 	}
 	for _, s := range n.servers {
 		if err := s.Close(); err != nil {
--- a/pkg/mesh/node_test.go
+++ b/pkg/mesh/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -144,6 +145,43 @@
 	wg.Wait()
 }
 
+// Callers that have no other node go on sending until the node is gone. A request that
+// was taken must still be answered.
+func TestStopAnswersCallersThatKeepComing(t *testing.T) {
+	store := newMemoryStore()
+	store.publish(t, 1, "a")
+	settings := newSettings(t, "b", 0)
+	settings.StopWithin = 5 * time.Second
+	a := startNode(t, settings, &access{memoryStore: store})
+	b := startNode(t, newSettings(t, "a", 700*time.Millisecond), &access{memoryStore: store})
+	eventually(t, "the other node's upstream is used", func() bool { return a.answers("/a/", "a") })
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				status, _, err := a.askWith(client, "/a/")
+				if status == http.StatusServiceUnavailable {
+					// Callers come back later, not at once.
+					time.Sleep(50 * time.Millisecond)
+				}
+				var op *net.OpError
+				if errors.As(err, &op) && op.Op == "dial" {
+					return
+				}
+				if err != nil {
+					t.Errorf("a request was cut: %v", err)
+				}
+			}
+		}()
+	}
+	a.stop()
+	wg.Wait()
+	b.stop()
+}
+
 // Few nodes read the store for all.
 func TestStoreReadsDoNotGrowWithTheFleet(t *testing.T) {
 	const nodes = 12
--- a/pkg/node/listen.go
+++ b/pkg/node/listen.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/net/netutil"
 
+	"github.com/mulberrytray/mulberrytray/pkg/drain"
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 )
 
@@ -37,7 +38,7 @@
 // server is an HTTP server with its listener.
 type server struct {
 	*http.Server
-	listener *drainListener
+	listener *drain.Listener
 }
 
 // stop takes the connections that wait, and then the requests in flight, to their
@@ -76,7 +77,7 @@
 	srv := &http.Server{
 		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, Protocols: protocols,
 	}
-	draining := newDrainListener(l.(*net.TCPListener))
+	draining := drain.NewListener(l.(*net.TCPListener))
 	limited := netutil.LimitListener(draining, maxConnections)
 	n.goDo(func() {
 		if err := srv.Serve(limited); err != nil && !n.draining.Load() {
--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -25,6 +25,8 @@
 	defaultTimeout = 10 * time.Second
 	// noConfigRetry is when callers should return to a node that has no configuration.
 	noConfigRetry = 300 * time.Millisecond
+	// stoppingRetry is when callers should return to a node that restarts.
+	stoppingRetry = 500 * time.Millisecond
 	// noUpstreamRetry is when callers should return if no upstream is known.
 	noUpstreamRetry = 200 * time.Millisecond
 	// answerWait is how long past its time an ingress waits for a call's result.
@@ -66,7 +68,9 @@
 	table    atomic.Pointer[route.Table]
 	splitter *route.Splitter
 	closing  atomic.Bool
-	active   atomic.Int64
+	// leaveAt is when the node will be gone, or nil.
+	leaveAt atomic.Pointer[time.Time]
+	active  atomic.Int64
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -89,6 +93,10 @@
 // CloseConnections asks callers to close their connections with the next answer.
 func (in *Ingress) CloseConnections() { in.closing.Store(true) }
 
+// LeaveAt refuses requests from now on that may take until after the time. Shorter
+// ones, such as calls of the upstream beside the node, are still served.
+func (in *Ingress) LeaveAt(at time.Time) { in.leaveAt.Store(&at) }
+
 // Active returns the number of requests in hand.
 func (in *Ingress) Active() int64 { return in.active.Load() }
 
@@ -134,6 +142,10 @@
 		in.reject(w, r, status, err.Error(), 0)
 		return
 	}
+	if at := in.leaveAt.Load(); at != nil && t.deadline.Add(answerWait).After(*at) {
+		in.reject(w, r, http.StatusServiceUnavailable, "stopping", stoppingRetry)
+		return
+	}
 	result := in.carry(r.Context(), t)
 	in.finish(w, r, t, result)
 }
