Split the sidecar by what its parts do

No change of behaviour: state and announcements, the run of a call, suspects, and probes have a file each.

--- /dev/null
+++ b/pkg/relay/suspects.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"github.com/mulberrytray/mulberrytray/pkg/event"
+	"github.com/mulberrytray/mulberrytray/pkg/gate"
+	"github.com/mulberrytray/mulberrytray/pkg/suspect"
+)
+
+// begin notes a request that is about to run, unless it crashes upstreams.
+func (s *Sidecar) begin(r *gate.Request, fingerprint uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.suspects.Blocked(s.now(), fingerprint) {
+		return false
+	}
+	s.inFlight[r] = fingerprint
+	return true
+}
+
+func (s *Sidecar) answered(fingerprint uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects.Answered(fingerprint)
+}
+
+// checkCrash looks whether the upstream is gone after an answer was lost. If it is,
+// all requests in flight are suspects.
+func (s *Sidecar) checkCrash(lost *Result) {
+	if lost.Kind != Failed || lost.TimedOut || s.Down() {
+		return
+	}
+	err := s.client.Reachable()
+	if err == nil {
+		return
+	}
+	s.mu.Lock()
+	var fingerprints []uint64
+	for _, f := range s.inFlight {
+		fingerprints = append(fingerprints, f)
+	}
+	s.suspects.Crashed(s.now(), fingerprints)
+	s.mu.Unlock()
+	s.events.Emit(event.UpstreamCrashed, event.Fields{"suspects": len(fingerprints), "error": err.Error()})
+	s.setDown(err)
+}
+
+// Suspects returns the requests that may have crashed the upstream.
+func (s *Sidecar) Suspects() []suspect.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspects.Own(s.now())
+}
+
+// Suspected takes the suspects of another node.
+func (s *Sidecar) Suspected(node string, entries []suspect.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects.Told(s.now(), node, entries)
+}
