--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -38,17 +38,17 @@
 	// hear of the state at once. Both may be called with the lock and don't block.
 	changed, urgent func()
 
-	mu       sync.Mutex
-	gate     *gate.Gate
-	tracker  announce.Tracker
-	down     bool
-	stopping bool
-	waiting  map[*gate.Request]chan *Result
-	failures float64
+	mu          sync.Mutex
+	gate        *gate.Gate
+	tracker     announce.Tracker
+	down        bool
+	stopping    bool
+	waiting     map[*gate.Request]chan *Result
+	failures    float64
 	meanService time.Duration
-	paceAt   time.Duration
-	declared UpstreamLoad
-	toldLoad int
+	paceAt      time.Duration
+	declared    UpstreamLoad
+	toldLoad    int
 	// inFlight holds the fingerprints of the requests at the upstream.
 	inFlight map[*gate.Request]uint64
 	suspects *suspect.Table
