Bound the reading of a body's rest after its answer

The goroutine dump shows the server reading the rest of a refused body without a deadline, while the caller, which had its answer, sent no more and kept the connection. Change: after a request with a body, the server reads for a second at most. TestRefusedBodyDoesNotHoldTheConnection fails without it.

--- a/pkg/ingress/body_test.go
+++ b/pkg/ingress/body_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	pb "github.com/mulberrytray/mulberrytray/gen/mulberrytray/v1"
 	"github.com/mulberrytray/mulberrytray/pkg/outcome"
@@ -97,6 +99,30 @@
 	}
 }
 
+// Guards against a connection that is held for ever by a caller that stops sending its
+// body once it is refused.
+func TestRefusedBodyDoesNotHoldTheConnection(t *testing.T) {
+	f := newFixture(t, ran)
+	f.in.Services[0].MaxBodyBytes = 1000
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	head := "POST / HTTP/1.1\r\nHost: x\r\n" + outcome.HeaderService + ": kasse\r\n" + outcome.HeaderRank + ": batch\r\nTransfer-Encoding: chunked\r\n\r\n"
+	if _, err := io.WriteString(c, head+"800\r\n"+strings.Repeat("x", 0x800)+"\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	answer, err := io.ReadAll(c)
+	if err != nil {
+		t.Fatalf("the connection is still open: %v", err)
+	}
+	if !strings.HasPrefix(string(answer), "HTTP/1.1 413") {
+		t.Errorf("answered %.40q", answer)
+	}
+}
+
 // Guards against a token's request that reaches another sidecar or is reported
 // as not run when the token's node can't tell any more.
 func TestTokens(t *testing.T) {
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -70,6 +70,9 @@
 const (
 	defaultTimeout = 10 * time.Second
 	longestTimeout = maxTimeoutMs * time.Millisecond
+	// drainTimeout is how long the rest of a body is read after the answer: a caller
+	// that still sends needs a few round trips to see the answer.
+	drainTimeout = time.Second
 )
 
 // Ingress is the http.Handler for callers. It is safe for concurrent use.
@@ -123,8 +126,20 @@
 	return time.Duration(in.Network.DomainOneWayMs * float64(time.Millisecond))
 }
 
+// boundDrain bounds the time in which the server reads what is left of a body after
+// the answer. Without it, a caller that stops sending once it has the answer and keeps
+// its connection holds the connection for ever.
+func boundDrain(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	// A connection that can't have a deadline is already closed.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTimeout))
+}
+
 // ServeHTTP handles one request of a caller.
 func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer boundDrain(w, r)
 	start := time.Now()
 	id, p := requestID(r)
 	w.Header().Set(outcome.HeaderRequestID, id)
