Send configurations compressed, on connections of their own, to a few nodes at a time

They shared the HTTP/2 connections of the calls, whose checks failed on the full links, so that calls were lost (a request sent at 23.28 s reached its upstream at 25.70 s). Ruled out: the store (12 nodes read it within 0.1 s of each other). Change: gzip, one connection a transfer, two transfers at a time for a sender; a node that is refused asks another one that has the version by then.

--- a/pkg/mesh/follow.go
+++ b/pkg/mesh/follow.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/mulberrytray/mulberrytray/pkg/event"
-	"github.com/mulberrytray/mulberrytray/pkg/relay"
 	"github.com/mulberrytray/mulberrytray/pkg/route"
 )
 
@@ -153,39 +152,3 @@
 		f.events.Emit(event.LogReachable, event.Fields{})
 	}
 }
-
-// fetcher takes newer configurations from other nodes, one at a time.
-type fetcher struct {
-	follower *follower
-	peers    *relay.HTTPPeers
-	events   *event.Logger
-	wanted   chan string
-}
-
-func newFetcher(f *follower, peers *relay.HTTPPeers, events *event.Logger) *fetcher {
-	return &fetcher{follower: f, peers: peers, events: events, wanted: make(chan string, 1)}
-}
-
-// want asks for the configuration of the node at the address. It never blocks.
-func (f *fetcher) want(address string) {
-	select {
-	case f.wanted <- address:
-	default:
-	}
-}
-
-func (f *fetcher) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case address := <-f.wanted:
-			encoded, err := f.peers.Config(ctx, address)
-			if err != nil {
-				f.events.Emit(event.ConfigInvalid, event.Fields{"source": address, "error": err.Error()})
-				continue
-			}
-			f.follower.offer(encoded, address)
-		}
-	}
-}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -67,6 +67,7 @@
 	peers    *relay.HTTPPeers
 	follower *follower
 	fetcher  *fetcher
+	configs  *configServer
 
 	// servers begin with that of the callers.
 	servers   []*http.Server
@@ -109,7 +110,8 @@
 	}
 	n.ingress.Provision()
 	n.follower = &follower{configs: p.Configs, events: p.Events, install: n.install, role: n.dir.reader}
-	n.fetcher = newFetcher(n.follower, n.peers, p.Events)
+	n.fetcher = newFetcher(n.follower, n.dir, n.peers, p.Events)
+	n.configs = newConfigServer(n.ingress.Table, p.Events)
 	n.gauges()
 	return n.listen()
 }
@@ -235,7 +237,7 @@
 		n.ports.Events.Emit(event.MemberAltered, fields)
 	}
 	if s.ConfigVersion > n.follower.version() {
-		n.fetcher.want(s.Address)
+		n.fetcher.want()
 	}
 }
 
@@ -253,23 +255,12 @@
 	case relay.CallPath:
 		n.sidecar.ServePeer(w, r)
 	case relay.ConfigPath:
-		n.serveConfig(w)
+		n.configs.ServeHTTP(w, r)
 	default:
 		http.NotFound(w, r)
 	}
 }
 
-func (n *Node) serveConfig(w http.ResponseWriter) {
-	t := n.ingress.Table()
-	if t == nil {
-		http.Error(w, "no configuration", http.StatusServiceUnavailable)
-		return
-	}
-	if _, err := w.Write(t.Source); err != nil {
-		n.ports.Events.Emit(event.AnswerNotDelivered, event.Fields{"path": relay.ConfigPath, "error": err.Error()})
-	}
-}
-
 // serveReady tells whether callers should use the node.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	ok, reason := n.readiness()
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -41,14 +41,21 @@
 	peerIdle = 2 * time.Minute
 	// hopSlack is added to the time that the other node has for its answer.
 	hopSlack = 50 * time.Millisecond
+	// configTimeout bounds the transfer of a routing table: 2 MB, over the slowest links
+	// of the users' VMs (10 Mbit/s) shared by a few.
+	configTimeout = 3 * time.Second
 	// configLimit bounds the size of a routing table from another node.
 	configLimit = 16 << 20
 )
 
 // HTTPPeers reaches other nodes over cleartext HTTP/2, which cancels a call
 // without closing the connection and finds silent connections by itself.
+//
+// Configurations go over connections of their own, compressed: a long one would hold
+// up the calls on a shared connection until its check fails and all of them are lost.
 type HTTPPeers struct {
-	client *http.Client
+	client  *http.Client
+	configs *http.Client
 }
 
 // NewHTTPPeers returns peers without connections.
@@ -56,7 +63,12 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	dialer := net.Dialer{Timeout: peerDialTimeout}
-	return &HTTPPeers{client: &http.Client{
+	// The transport asks for compressed answers and decompresses them by itself.
+	configs := &http.Client{
+		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+		Timeout:   configTimeout,
+	}
+	return &HTTPPeers{configs: configs, client: &http.Client{
 		Transport: &http.Transport{
 			DialContext:        dialer.DialContext,
 			DisableCompression: true,
@@ -295,13 +307,11 @@
 
 // Config returns the encoded routing table in force at another node.
 func (p *HTTPPeers) Config(ctx context.Context, address string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ConfigPath, nil)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errPeer, err)
 	}
-	resp, err := p.client.Do(req)
+	resp, err := p.configs.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errPeer, err)
 	}
