Bound the reading of bodies and count what an earlier process left running

Cause: mtmesh read a body without a deadline, and the rest of a refused one as well, so that a caller that stopped sending held its request or connection (docs/platform.md, open). A node that restarted beside a busy upstream took all its slots for free. Change: 408 when the body has not come by the request's deadline; the rest of a body is read for a second after the answer; the first load that the upstream states tells what an earlier process left running, later ones only lower it.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -29,7 +29,8 @@
 	// usableShare of the slots is used. The users' upstreams slow down when more
 	// than four fifths of their slots are busy.
 	usableShare = 0.8
-	// firstService is the service time assumed for a route without history.
+	// firstService is the service time assumed for a route without history and for
+	// the rest of requests that the gate does not know.
 	firstService = 20 * time.Millisecond
 	// serviceWeight is the part of a new service time in the mean of its route.
 	serviceWeight = 0.1
@@ -125,6 +126,9 @@
 // does not know, such as those of an earlier process of the node.
 func (g *Gate) Occupied(slots int) { g.foreign = max(0, slots) }
 
+// Foreign returns the number of slots set by Occupied.
+func (g *Gate) Foreign() int { return g.foreign }
+
 // Pace takes a report of the VM's speed.
 func (g *Gate) Pace(now time.Duration, p float64) Outcome {
 	g.pace.Report(now, p)
--- a/pkg/relay/body.go
+++ b/pkg/relay/body.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 )
 
@@ -16,6 +17,7 @@
 var (
 	errBodyTooLarge = errors.New("request body too large")
 	errBodyBroken   = errors.New("request body broken")
+	errBodyLate     = errors.New("request body did not come in time")
 )
 
 // readBody collects the beginning of the body into the call.
@@ -25,6 +27,9 @@
 	}
 	var b bytes.Buffer
 	n, err := io.CopyN(&b, body, bodyBuffer)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return errBodyLate
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		return fmt.Errorf("%w: %w", errBodyBroken, err)
 	}
@@ -37,6 +42,17 @@
 	return nil
 }
 
+// bodyStatus returns the status for a request whose body was not taken.
+func bodyStatus(err error) int {
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, errBodyLate):
+		return http.StatusRequestTimeout
+	}
+	return http.StatusBadRequest
+}
+
 // writeAnswer writes the upstream's answer. A body that breaks aborts the
 // connection, so that it never looks complete.
 func writeAnswer(w http.ResponseWriter, r *Result) {
--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -34,6 +33,9 @@
 	// sendsPerRetry keeps repeats at a quarter of the users' limit of one in five: a
 	// window may hold the credit of two, and a repeat repeats its own calls as well.
 	sendsPerRetry = 20
+	// restTimeout is how long the rest of a body is read after its answer, as in
+	// pkg/ingress.
+	restTimeout = time.Second
 	// minRepeat is the least time that must be left to send a request once more.
 	minRepeat = 20 * time.Millisecond
 )
@@ -133,13 +135,10 @@
 		in.reject(w, r, http.StatusNotFound, "no-route", 0)
 		return
 	}
-	t, err := in.newTrip(r, table, rt)
-	if err != nil {
-		status := http.StatusBadRequest
-		if errors.Is(err, errBodyTooLarge) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		in.reject(w, r, status, err.Error(), 0)
+	defer in.boundRest(w, r)
+	t := in.newTrip(r, table, rt)
+	if err := in.readRequest(w, r, t, table.Limits.MaxBodyBytes); err != nil {
+		in.reject(w, r, bodyStatus(err), err.Error(), 0)
 		return
 	}
 	if at := in.leaveAt.Load(); at != nil && t.deadline.Add(answerWait).After(*at) {
@@ -150,9 +149,9 @@
 	in.finish(w, r, t, result)
 }
 
-// newTrip reads the request. It sets the time that the request has: the least of
-// what the caller states and the route allows.
-func (in *Ingress) newTrip(r *http.Request, table *route.Table, rt *route.Route) (*trip, error) {
+// newTrip returns the request without its body. It sets the time that the request
+// has: the least of what the caller states and the route allows.
+func (in *Ingress) newTrip(r *http.Request, table *route.Table, rt *route.Route) *trip {
 	now := time.Now()
 	timeout := defaultTimeout
 	if n, err := strconv.ParseInt(r.Header.Get(in.Names.TimeoutMillis), 10, 64); err == nil && n > 0 {
@@ -169,7 +168,35 @@
 		Service: in.splitter.Pick(rt), Caller: in.Service, Class: rt.Name, Rank: rt.Rank,
 		Target: rt.Target, TargetLeft: rt.Target - spent, Timeout: timeout, Idempotent: rt.Idempotent,
 	}
-	return t, readBody(&t.call, r.Body, r.ContentLength, table.Limits.MaxBodyBytes)
+	return t
+}
+
+// readRequest reads the beginning of the body, until the request's time is over.
+func (in *Ingress) readRequest(w http.ResponseWriter, r *http.Request, t *trip, limit int64) error {
+	if r.Body == http.NoBody {
+		return nil
+	}
+	in.setReadDeadline(w, r, t.deadline)
+	err := readBody(&t.call, r.Body, r.ContentLength, limit)
+	if err == nil {
+		// The server goes on reading to see whether the caller leaves.
+		in.setReadDeadline(w, r, time.Time{})
+	}
+	return err
+}
+
+// boundRest bounds the time for which the server reads what is left of a body after
+// its answer. Without it, a caller that stops sending holds its connection.
+func (in *Ingress) boundRest(w http.ResponseWriter, r *http.Request) {
+	if r.Body != http.NoBody {
+		in.setReadDeadline(w, r, time.Now().Add(restTimeout))
+	}
+}
+
+func (in *Ingress) setReadDeadline(w http.ResponseWriter, r *http.Request, at time.Time) {
+	if err := http.NewResponseController(w).SetReadDeadline(at); err != nil && r.Context().Err() == nil {
+		in.Events.Emit(event.AnswerNotDelivered, event.Fields{"id": r.Header.Get(in.Names.RequestID), "error": err.Error()})
+	}
 }
 
 // spent estimates how long ago the caller first sent this request. Callers count
--- a/pkg/relay/probe.go
+++ b/pkg/relay/probe.go
@@ -41,10 +41,13 @@
 
 // Observe takes the load that the upstream stated just now.
 func (s *Sidecar) Observe(l UpstreamLoad) {
+	s.mu.Lock()
+	s.inherit(l)
 	if l.Pace <= 0 {
+		s.settle(s.gate.Advance(s.now()))
+		s.mu.Unlock()
 		return
 	}
-	s.mu.Lock()
 	old := s.declared.Pace
 	s.declared, s.paceAt = l, s.now()
 	s.settle(s.gate.Pace(s.now(), l.Pace))
@@ -54,6 +57,18 @@
 	}
 }
 
+// inherit notes the requests that an earlier process of the node left running at
+// the upstream. The first load tells them; later ones only lower the number, since
+// a load may be older than the requests that were sent meanwhile. The lock is held.
+func (s *Sidecar) inherit(l UpstreamLoad) {
+	rest := max(0, l.Running+l.Waiting-s.gate.Running())
+	if s.loadKnown {
+		rest = min(rest, s.gate.Foreign())
+	}
+	s.loadKnown = true
+	s.gate.Occupied(rest)
+}
+
 func (s *Sidecar) setDown(err error) {
 	s.mu.Lock()
 	was := s.down
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -48,7 +48,9 @@
 	meanService time.Duration
 	paceAt      time.Duration
 	declared    UpstreamLoad
-	toldLoad    int
+	// loadKnown is set by the first load that the upstream stated.
+	loadKnown bool
+	toldLoad  int
 	// inFlight holds the fingerprints of the requests at the upstream.
 	inFlight map[*gate.Request]uint64
 	suspects *suspect.Table
