Run the mesh node without the platform, from a file of routes

Cause: mtmesh needed the platform's store and its formats, so what it added to the product (routes by host and prefix, splits, ranks and time-outs by route) could not be used through the product's own interface (docs/platform.md, open). Answers need neither a seal nor the request's id there. Tests: TestNodesWithoutThePlatform (two nodes, change of the file, draining, a next start), TestRoutesAreChecked.

--- a/cmd/mtmesh/main.go
+++ b/cmd/mtmesh/main.go
@@ -28,15 +28,19 @@
 	var path, format, level string
 	var check bool
 	return &cli.Command{
-		Name:  "mtmesh",
-		Usage: "run the node beside an upstream on the users' platform",
+		Name:     "mtmesh",
+		Usage:    "run the node beside an upstream on the users' platform",
+		Commands: []*cli.Command{standaloneCommand()},
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "path of the platform's settings file", Sources: cli.EnvVars(platform.SettingsVariable), Required: true, Destination: &path},
+			&cli.StringFlag{Name: "settings", Usage: "path of the platform's settings file", Sources: cli.EnvVars(platform.SettingsVariable), Destination: &path},
 			&cli.StringFlag{Name: "log-format", Usage: "text or json", Value: "json", Sources: cli.EnvVars("MTMESH_LOG_FORMAT"), Destination: &format},
 			&cli.StringFlag{Name: "log-level", Usage: "least severity of the events written: debug, info, warn or error", Value: "info", Sources: cli.EnvVars("MTMESH_LOG_LEVEL"), Destination: &level},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit", Destination: &check},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if path == "" {
+				return fmt.Errorf("--settings or %s must name the settings file", platform.SettingsVariable)
+			}
 			s, err := platform.ReadSettings(path)
 			if err != nil {
 				return err
@@ -59,23 +63,28 @@
 	defer out.Close()
 	events := event.NewLogger(out, format, level)
 	store := platform.NewStore(s.Store)
-	node, err := mesh.New(s.Node, mesh.Ports{
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	go reload(ctx, path, s, hup, store, events)
+	return serve(ctx, s.Node, mesh.Ports{
 		Names: platform.Names(), Configs: store, Registry: store,
 		Announcements: platform.Announcements(s, events), Events: events, Dropped: out.Dropped,
 	})
+}
+
+// serve runs a node until the context ends.
+func serve(ctx context.Context, s mesh.Settings, p mesh.Ports) error {
+	node, err := mesh.New(s, p)
 	if err != nil {
 		return err
 	}
 	if err := node.Provision(); err != nil {
-		events.Emit(event.NodeFailed, event.Fields{"error": err.Error()})
+		p.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error()})
 		return err
 	}
 	signal.Ignore(syscall.SIGPIPE)
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer cancel()
-	go reload(ctx, path, s, hup, store, events)
 	return node.Run(ctx)
 }
 
--- /dev/null
+++ b/cmd/mtmesh/standalone.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mulberrytray/mulberrytray/pkg/event"
+	"github.com/mulberrytray/mulberrytray/pkg/mesh"
+	"github.com/mulberrytray/mulberrytray/pkg/standalone"
+)
+
+// standaloneSettings are the settings of a node without a platform.
+type standaloneSettings struct {
+	node   mesh.Settings
+	routes standalone.Routes
+	peers  []string
+}
+
+// standaloneCommand runs a node whose routes come from a file.
+func standaloneCommand() *cli.Command {
+	var s standaloneSettings
+	var format, level string
+	var check bool
+	return &cli.Command{
+		Name:  "standalone",
+		Usage: "run the node without the platform: routes from a file, other nodes from --peers",
+		Flags: []cli.Flag{
+			text("failure-domain", "failure domain of the VM", "", &s.node.Domain),
+			text("service", "service of the upstream beside the node", "", &s.node.Service),
+			text("upstream-address", "IP:port of the upstream", "127.0.0.1:9000", &s.node.UpstreamAddress),
+			text("caller-address", "IP:port for callers on this VM and the upstream's own calls", "127.0.0.1:8080", &s.node.CallerAddress),
+			text("peer-address", "IP:port for other nodes, TCP and UDP; it names the node", "127.0.0.1:8081", &s.node.PeerAddress),
+			text("announce-address", "IP:port for the upstream's announcements", "127.0.0.1:8082", &s.node.AnnounceAddress),
+			text("ready-address", "IP:port that answers 200 while callers should use the node", "127.0.0.1:8083", &s.node.ReadyAddress),
+			text("metrics-address", "IP:port for metrics, empty for none", "", &s.node.MetricsAddress),
+			text("routes", "path of the YAML file of routes; a node without one takes the table from the others", "", &s.routes.Path),
+			&cli.StringSliceFlag{Name: "peers", Usage: "peer addresses of other nodes", Sources: cli.EnvVars("MTMESH_PEERS"), Destination: &s.peers},
+			&cli.DurationFlag{Name: "stop-within", Usage: "time from the stop signal to the end of the process (at least 1s)", Value: 6 * time.Second, Sources: cli.EnvVars("MTMESH_STOP_WITHIN"), Destination: &s.node.StopWithin},
+			&cli.FloatFlag{Name: "probes-per-second", Usage: "bound of the probes of the upstream", Value: 20, Sources: cli.EnvVars("MTMESH_PROBES_PER_SECOND"), Destination: &s.node.ProbesPerSecond},
+			text("log-format", "text or json", "json", &format),
+			text("log-level", "least severity of the events written: debug, info, warn or error", "info", &level),
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and the file of routes, and exit", Destination: &check},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if err := s.validate(ctx); err != nil {
+				return err
+			}
+			if check {
+				_, err := fmt.Fprintln(c.Root().Writer, "all settings are valid")
+				return err
+			}
+			severity, err := log.ParseLevel(level)
+			if err != nil {
+				return fmt.Errorf("log level: %w", err)
+			}
+			return s.run(ctx, event.Format(format), severity)
+		},
+	}
+}
+
+// text returns a flag that can be set by the environment as well.
+func text(name, usage, value string, to *string) cli.Flag {
+	variable := "MTMESH_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+	return &cli.StringFlag{Name: name, Usage: usage, Value: value, Sources: cli.EnvVars(variable), Destination: to}
+}
+
+// validate checks the settings and, if there is one, the file of routes.
+func (s *standaloneSettings) validate(ctx context.Context) error {
+	if err := s.node.Validate(); err != nil {
+		return err
+	}
+	encoded, _, err := s.routes.Newest(ctx)
+	if err != nil || encoded == nil {
+		return err
+	}
+	_, err = s.routes.Decode(encoded)
+	return err
+}
+
+func (s *standaloneSettings) run(ctx context.Context, format event.Format, level log.Level) error {
+	out := event.NewAsyncWriter(os.Stdout)
+	defer out.Close()
+	events := event.NewLogger(out, format, level)
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	return serve(ctx, s.node, mesh.Ports{
+		Names: standalone.Names(), Configs: s.routes, Registry: standalone.Peers(s.peers),
+		Announcements: standalone.Announcements(s.node.Service, s.node.UpstreamAddress, events),
+		Events:        events, Dropped: out.Dropped,
+	})
+}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -66,7 +66,8 @@
 	Length int64
 	// Once is set for requests that must not run twice.
 	Once bool
-	// IDHeader names the header that request and answer carry the same id in.
+	// IDHeader names the header that request and answer carry the same id in; empty if
+	// answers carry none.
 	IDHeader string
 }
 
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -15,11 +15,13 @@
 
 // Names are the headers that callers and upstreams understand.
 type Names struct {
-	// RequestID identifies one request of a caller; upstreams repeat it in answers.
+	// RequestID identifies one request of a caller.
 	RequestID string
+	// AnswerID repeats the request's id in answers of upstreams; empty if they don't.
+	AnswerID string
 	// TimeoutMillis tells how long the caller will wait.
 	TimeoutMillis string
-	// Seal is on every answer that an upstream made.
+	// Seal is on every answer that an upstream made; empty if answers have none.
 	Seal string
 	// ExpectUpstream names the only upstream that may run the request.
 	ExpectUpstream string
--- a/pkg/relay/probe.go
+++ b/pkg/relay/probe.go
@@ -102,7 +102,7 @@
 
 // Probe asks the upstream for its health and load.
 func (s *Sidecar) Probe(ctx context.Context, path, host string) error {
-	resp, err := s.client.Do(ctx, &exchange.Request{Method: http.MethodGet, URI: path, Host: host, Header: http.Header{}, IDHeader: s.names.RequestID})
+	resp, err := s.client.Do(ctx, &exchange.Request{Method: http.MethodGet, URI: path, Host: host, Header: http.Header{}, IDHeader: s.names.AnswerID})
 	if err != nil {
 		if errors.Is(err, exchange.ErrRefused) && ctx.Err() == nil {
 			s.setDown(err)
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -152,7 +152,7 @@
 	h.Set(s.names.ExpectUpstream, c.Upstream)
 	return &exchange.Request{
 		Method: c.Method, URI: c.URI, Host: c.Host, Header: h, Body: c.Body, Rest: c.Rest, Length: c.Length,
-		Once: !c.Idempotent, IDHeader: s.names.RequestID,
+		Once: !c.Idempotent, IDHeader: s.names.AnswerID,
 	}
 }
 
@@ -166,7 +166,7 @@
 	case resp.Header.Get(s.names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest:
 		result.close()
 		result = &Result{Kind: Declined, Reason: "declined-by-upstream", RetryAfter: downRetry}
-	case resp.Header.Get(s.names.Seal) == "" || resp.Header.Get("Content-Encoding") != "":
+	case (s.names.Seal != "" && resp.Header.Get(s.names.Seal) == "") || resp.Header.Get("Content-Encoding") != "":
 		result.close()
 		result = failed("invalid-answer", false)
 	}
--- a/pkg/sidecar/announce.go
+++ b/pkg/sidecar/announce.go
@@ -122,7 +122,7 @@
 		outcome.New(http.StatusMethodNotAllowed, outcome.ReasonMethodNotAllowed, outcome.NotRun, "use POST").Write(w)
 		return
 	}
-	a, problem := readAnnouncement(w, r)
+	a, problem := ReadAnnouncement(w, r)
 	if problem != nil {
 		problem.Write(w)
 		return
@@ -131,7 +131,8 @@
 	_ = json.NewEncoder(w).Encode(s.Announce(a))
 }
 
-func readAnnouncement(w http.ResponseWriter, r *http.Request) (Announcement, *outcome.Problem) {
+// ReadAnnouncement reads and checks an announcement.
+func ReadAnnouncement(w http.ResponseWriter, r *http.Request) (Announcement, *outcome.Problem) {
 	var a Announcement
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
 	decoder.DisallowUnknownFields()
--- /dev/null
+++ b/pkg/standalone/routes.go
@@ -0,0 +1,125 @@
+package standalone
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/mulberrytray/mulberrytray/pkg/route"
+)
+
+// ErrRoutes marks a file of routes that cannot be used.
+var ErrRoutes = errors.New("invalid routes")
+
+// pollPeriod is how often the file is read while a change is awaited.
+const pollPeriod = 500 * time.Millisecond
+
+// Routes reads the routing table from a YAML file. It implements mesh.Configs. With
+// an empty path there is no file, and the table comes from the other nodes.
+type Routes struct{ Path string }
+
+// document is the file.
+type document struct {
+	// Version must grow with each change; nodes keep the highest that they have seen.
+	Version uint64 `yaml:"version"`
+	Limits  struct {
+		MaxBodyBytes int64 `yaml:"max_body_bytes"`
+	} `yaml:"limits"`
+	Services []struct {
+		Name       string `yaml:"name"`
+		HealthPath string `yaml:"health_path"`
+	} `yaml:"services"`
+	Routes []struct {
+		Name   string `yaml:"name"`
+		Host   string `yaml:"host"`
+		Prefix string `yaml:"prefix"`
+		// Idempotent requests may run more than once.
+		Idempotent bool `yaml:"idempotent"`
+		// Rank 0 is the most urgent.
+		Rank        int           `yaml:"rank"`
+		Target      time.Duration `yaml:"target"`
+		Timeout     time.Duration `yaml:"timeout"`
+		MaxAttempts int           `yaml:"max_attempts"`
+		Shares      []struct {
+			Service string `yaml:"service"`
+			Weight  int    `yaml:"weight"`
+		} `yaml:"shares"`
+	} `yaml:"routes"`
+}
+
+// Decode implements mesh.Configs. Errors wrap ErrRoutes.
+func (Routes) Decode(encoded []byte) (*route.Table, error) {
+	var d document
+	decoder := yaml.NewDecoder(bytes.NewReader(encoded))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(&d); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRoutes, err)
+	}
+	if d.Version == 0 || d.Limits.MaxBodyBytes <= 0 {
+		return nil, fmt.Errorf("%w: version and limits.max_body_bytes must be above 0", ErrRoutes)
+	}
+	var services []route.Service
+	for _, s := range d.Services {
+		services = append(services, route.Service{Name: s.Name, HealthPath: s.HealthPath})
+	}
+	var routes []*route.Route
+	for _, r := range d.Routes {
+		if r.Target <= 0 || r.Timeout <= 0 {
+			return nil, fmt.Errorf("%w: route %q: target and timeout must be above 0", ErrRoutes, r.Name)
+		}
+		out := &route.Route{
+			Name: r.Name, Host: r.Host, Prefix: r.Prefix, Idempotent: r.Idempotent, Rank: r.Rank,
+			Target: r.Target, Timeout: r.Timeout, MaxAttempts: r.MaxAttempts,
+		}
+		for _, s := range r.Shares {
+			out.Shares = append(out.Shares, route.Share{Service: s.Service, Weight: s.Weight})
+		}
+		routes = append(routes, out)
+	}
+	t, err := route.NewTable(d.Version, route.Limits{MaxBodyBytes: d.Limits.MaxBodyBytes}, services, routes)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRoutes, err)
+	}
+	t.Source = encoded
+	return t, nil
+}
+
+// Newest implements mesh.Configs. The position is a hash of the file.
+func (r Routes) Newest(context.Context) ([]byte, int64, error) {
+	if r.Path == "" {
+		return nil, 0, nil
+	}
+	b, err := os.ReadFile(r.Path)
+	if err != nil {
+		return nil, 0, fmt.Errorf("%w: %w", ErrRoutes, err)
+	}
+	return b, int64(xxhash.Sum64(b)), nil
+}
+
+// Changes implements mesh.Configs.
+func (r Routes) Changes(ctx context.Context, position int64, wait time.Duration) ([]byte, int64, error) {
+	limit := time.Now().Add(wait)
+	for {
+		b, next, err := r.Newest(ctx)
+		if err != nil {
+			return nil, 0, err
+		}
+		if next != position {
+			return b, next, nil
+		}
+		if !time.Now().Before(limit) {
+			return nil, position, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, fmt.Errorf("wait for a change of %s: %w", r.Path, ctx.Err())
+		case <-time.After(pollPeriod):
+		}
+	}
+}
--- /dev/null
+++ b/pkg/standalone/standalone_test.go
@@ -0,0 +1,178 @@
+package standalone
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/event"
+	"github.com/mulberrytray/mulberrytray/pkg/mesh"
+)
+
+const routesFile = `version: %d
+limits: {max_body_bytes: 1048576}
+services: [{name: a}, {name: b}]
+routes:
+  - {name: r, host: h, prefix: /r/, idempotent: true, target: 200ms, timeout: 2s, max_attempts: 2, shares: [{service: %s, weight: 1}]}
+`
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// node is a running node beside an upstream that answers with its service's name
+// and knows nothing of the product's headers.
+type node struct {
+	settings mesh.Settings
+	service  string
+}
+
+func startNode(t *testing.T, service, path string, peers ...string) node {
+	t.Helper()
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, service) }))
+	t.Cleanup(upstream.Close)
+	s := mesh.Settings{
+		Domain: "d", Service: service, UpstreamAddress: upstream.Listener.Addr().String(), CallerAddress: freeAddress(t), PeerAddress: freeAddress(t),
+		ReadyAddress: freeAddress(t), AnnounceAddress: freeAddress(t), StopWithin: time.Second,
+	}
+	n, err := mesh.New(s, mesh.Ports{
+		Names: Names(), Configs: Routes{Path: path}, Registry: Peers(peers), Announcements: Announcements(service, s.UpstreamAddress, event.Discard()),
+		Events: event.Discard(), Dropped: func() int64 { return 0 },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Provision(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return node{s, service}
+}
+
+// announce posts an announcement of the upstream and returns the status.
+func (n node) announce(t *testing.T, incarnation, state string) int {
+	t.Helper()
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"slots":4,"incarnation":%q,"state":%q}`, n.service, n.settings.UpstreamAddress, incarnation, state)
+	resp, err := http.Post("http://"+n.settings.AnnounceAddress+"/v1/announce", "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode
+}
+
+// ask sends a request to the node and returns status and body.
+func (n node) ask() (int, string) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+n.settings.CallerAddress+"/r/x", nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Host = "h"
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(b)
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 1000 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("not within 10 s: %s", what)
+}
+
+func write(t *testing.T, path, content string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Two nodes without a platform, of which one has the file of routes: requests reach
+// the upstream beside the other one, changes of the file take effect at both, and an
+// upstream that drains gets nothing new.
+func TestNodesWithoutThePlatform(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "routes.yaml")
+	write(t, path, fmt.Sprintf(routesFile, 1, "b"))
+	a := startNode(t, "a", path)
+	b := startNode(t, "b", "", a.settings.PeerAddress)
+	for _, n := range []node{a, b} {
+		if status := n.announce(t, "first-"+n.service, "ready"); status != http.StatusOK {
+			t.Fatalf("announcement: status %d", status)
+		}
+	}
+	answered := func(n node, want string) func() bool {
+		return func() bool { status, got := n.ask(); return status == http.StatusOK && got == want }
+	}
+	eventually(t, "a's callers reach b", answered(a, "b"))
+	write(t, path, fmt.Sprintf(routesFile, 2, "a"))
+	eventually(t, "the change is in force at a", answered(a, "a"))
+	eventually(t, "the change is in force at b", answered(b, "a"))
+	a.announce(t, "first-a", "draining")
+	eventually(t, "nothing goes to the draining upstream", func() bool { status, _ := b.ask(); return status == http.StatusServiceUnavailable })
+	a.announce(t, "second-a", "ready")
+	a.announce(t, "first-a", "draining")
+	eventually(t, "the next start is used, whatever the ended one says", answered(b, "a"))
+}
+
+func TestAnnouncementOfAnotherServiceIsRefused(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "routes.yaml")
+	write(t, path, fmt.Sprintf(routesFile, 1, "a"))
+	n := startNode(t, "a", path)
+	n.service = "b"
+	if status := n.announce(t, "x", "ready"); status != http.StatusUnprocessableEntity {
+		t.Errorf("status %d, want 422", status)
+	}
+}
+
+func TestRoutesAreChecked(t *testing.T) {
+	valid := fmt.Sprintf(routesFile, 1, "a")
+	if table, err := (Routes{}).Decode([]byte(valid)); err != nil || table.Len() != 1 || table.Version != 1 {
+		t.Fatalf("valid routes: %v", err)
+	}
+	for desc, content := range map[string]string{
+		"no version":      strings.Replace(valid, "version: 1", "version: 0", 1),
+		"unknown field":   valid + "color: red\n",
+		"unknown service": strings.Replace(valid, "{service: a,", "{service: c,", 1),
+		"no timeout":      strings.Replace(valid, "timeout: 2s,", "", 1),
+		"no body limit":   strings.Replace(valid, "max_body_bytes: 1048576", "max_body_bytes: 0", 1),
+		"not YAML":        "{",
+	} {
+		if _, err := (Routes{}).Decode([]byte(content)); !errors.Is(err, ErrRoutes) {
+			t.Errorf("%s: %v", desc, err)
+		}
+	}
+}
