Let mtctl watch the newest version by default

Besides, a refused announcement made the stand-in of an upstream announce itself again at once, for ever, seen when mtmesh standalone was tried by hand with another upstream address. Change: watch takes the newest version that a member has; the stand-in waits after a refusal; standalone's default upstream address is that of mtupstream.

--- a/cmd/mtctl/main.go
+++ b/cmd/mtctl/main.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -106,11 +107,13 @@
 
 // leaf returns a command that takes exactly the arguments named in args.
 func leaf(name, usage, args, line string, action cli.ActionFunc, flags ...cli.Flag) *cli.Command {
-	want := countFields(args)
+	most := countFields(args)
+	// Optional arguments stand in brackets.
+	least := countFields(strings.Split(args, "[")[0])
 	return &cli.Command{Name: name, Usage: usage, ArgsUsage: args, Description: example(line), Flags: flags,
 		Action: func(ctx context.Context, c *cli.Command) error {
-			if c.Args().Len() != want {
-				return &usageError{fmt.Sprintf("%s takes %d arguments: %s", name, want, args)}
+			if n := c.Args().Len(); n < least || n > most {
+				return &usageError{fmt.Sprintf("%s takes %d arguments: %s", name, most, args)}
 			}
 			return action(ctx, c)
 		}}
--- a/cmd/mtctl/main_test.go
+++ b/cmd/mtctl/main_test.go
@@ -27,7 +27,7 @@
 func (n *fakeNode) FleetStatus(context.Context, *connect.Request[pb.FleetStatusRequest]) (*connect.Response[pb.FleetStatusResponse], error) {
 	alive := pb.MemberStatus_MEMBER_STATUS_ALIVE
 	return connect.NewResponse(&pb.FleetStatusResponse{Members: []*pb.Member{
-		{NodeId: "n1", Status: alive, AdminAddress: n.address},
+		{NodeId: "n1", Status: alive, AdminAddress: n.address, ConfigVersion: 3},
 		{NodeId: "n2", Status: pb.MemberStatus_MEMBER_STATUS_DEAD, AdminAddress: "127.0.11.9:1"},
 	}}), nil
 }
@@ -50,6 +50,8 @@
 		want       string
 	}{
 		{"in effect at all alive members", "watch 3", 0, "all 1 alive"},
+		{"newest version in effect", "watch", 0, "version 3 is in effect"},
+		{"too many arguments", "watch 3 4", exitUsage, "takes 1 arguments"},
 		{"members as JSON", "-o json fleet", 0, `"node_id": "n1"`},
 		{"not in effect", "watch --timeout 0s 4", exitFailure, "has version 3; log unreachable: down"},
 		{"refused confirmation", "confirm p d", exitRefused, "confirmed by bela"},
--- a/cmd/mtctl/watch.go
+++ b/cmd/mtctl/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -37,14 +38,14 @@
 }
 
 func watchCommand() *cli.Command {
-	return leaf("watch", "wait until a version is in effect at all alive members", "VERSION", "mtctl watch --timeout 8s 12", watch,
+	return leaf("watch", "wait until a version, or else the newest one, is in effect at all alive members", "[VERSION]", "mtctl watch --timeout 8s 12", watch,
 		&cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "how long to wait"})
 }
 
 func watch(ctx context.Context, c *cli.Command) error {
-	version, err := strconv.ParseUint(c.Args().First(), 10, 64)
+	version, err := watchedVersion(ctx, c)
 	if err != nil {
-		return &usageError{fmt.Sprintf("version %q is not a number", c.Args().First())}
+		return err
 	}
 	deadline := time.Now().Add(c.Duration("timeout"))
 	shown := ""
@@ -68,6 +69,32 @@
 	}
 }
 
+// errNoVersion means that there is nothing to wait for.
+var errNoVersion = errors.New("no member has a configuration yet")
+
+// watchedVersion returns the version given, or the newest that a member has.
+func watchedVersion(ctx context.Context, c *cli.Command) (uint64, error) {
+	if c.Args().Len() > 0 {
+		version, err := strconv.ParseUint(c.Args().First(), 10, 64)
+		if err != nil {
+			return 0, &usageError{fmt.Sprintf("version %q is not a number", c.Args().First())}
+		}
+		return version, nil
+	}
+	status, err := members(ctx, c)
+	if err != nil {
+		return 0, err
+	}
+	newest := uint64(0)
+	for _, m := range status.Members {
+		newest = max(newest, m.ConfigVersion)
+	}
+	if newest == 0 {
+		return 0, errNoVersion
+	}
+	return newest, nil
+}
+
 // maxNamed bounds the nodes named while waiting. The result names all of them.
 const maxNamed = 5
 
--- a/cmd/mtmesh/standalone.go
+++ b/cmd/mtmesh/standalone.go
@@ -35,7 +35,7 @@
 		Flags: []cli.Flag{
 			text("failure-domain", "failure domain of the VM", "", &s.node.Domain),
 			text("service", "service of the upstream beside the node", "", &s.node.Service),
-			text("upstream-address", "IP:port of the upstream", "127.0.0.1:9000", &s.node.UpstreamAddress),
+			text("upstream-address", "IP:port of the upstream", "127.0.0.1:8091", &s.node.UpstreamAddress),
 			text("caller-address", "IP:port for callers on this VM and the upstream's own calls", "127.0.0.1:8080", &s.node.CallerAddress),
 			text("peer-address", "IP:port for other nodes, TCP and UDP; it names the node", "127.0.0.1:8081", &s.node.PeerAddress),
 			text("announce-address", "IP:port for the upstream's announcements", "127.0.0.1:8082", &s.node.AnnounceAddress),
--- a/internal/standin/upstream/announce.go
+++ b/internal/standin/upstream/announce.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -70,6 +71,9 @@
 		return "", err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("announcement: status %d", resp.StatusCode)
+	}
 	var answer sidecar.AnnounceResponse
 	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
 		return "", err
