Tell the load to a bounded number of followers

Cause: every node told every other one its load. Besides, each node that was heard of for the first time made a node tell all others, and so did each new configuration at every node, and above 134 nodes most members counted as silent, so that more nodes read the store. Change: a node follows at most 8 to 11 upstreams of each service, by hashes that both sides compute (pkg/follow); followers hear of changes, all others that the node lives. Only nodes that have a configuration from the store tell all; one node in 15 reads it, not one in 8. Requests go to followed upstreams first.

--- a/pkg/mesh/config.go
+++ b/pkg/mesh/config.go
@@ -37,6 +37,8 @@
 	configs Configs
 	events  *event.Logger
 	install func(*route.Table)
+	// spread is called when the store had a newer configuration, so that all hear of it.
+	spread func()
 	// role reports whether this node is one of the readers of the fleet.
 	role func() bool
 
@@ -45,21 +47,23 @@
 	lost    bool
 }
 
-// offer puts an encoded configuration in force if it is newer.
-func (f *follower) offer(encoded []byte, source string) {
+// offer puts an encoded configuration in force if it is newer, and reports whether
+// it was.
+func (f *follower) offer(encoded []byte, source string) bool {
 	t, err := f.configs.Decode(encoded)
 	if err != nil {
 		f.events.Emit(event.ConfigInvalid, event.Fields{"source": source, "error": err.Error()})
-		return
+		return false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.current != nil && t.Version <= f.current.Version {
-		return
+		return false
 	}
 	f.current = t
 	f.install(t)
 	f.events.Emit(event.ConfigInstalled, event.Fields{"version": t.Version, "routes": t.Len(), "source": source})
+	return true
 }
 
 func (f *follower) version() uint64 {
@@ -133,8 +137,8 @@
 	if err != nil {
 		return 0, err
 	}
-	if encoded != nil {
-		f.offer(encoded, "store")
+	if encoded != nil && f.offer(encoded, "store") {
+		f.spread()
 	}
 	return next, nil
 }
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -26,7 +26,7 @@
 	// minReaders read the store in any fleet, so that several may lose it at once.
 	minReaders = 5
 	// membersPerReader is the number of members that one reader stands for.
-	membersPerReader = 8
+	membersPerReader = 15
 	// workWeight is the part of a new measurement in the mean work of a route.
 	workWeight = 0.1
 )
@@ -43,6 +43,7 @@
 	mu     sync.Mutex
 	roster *roster.Roster
 	work   map[string]time.Duration
+	links  links
 }
 
 func newDirectory(self, domain string, start time.Time) *directory {
@@ -67,9 +68,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
-	candidates, members := d.candidates(now, service, class, exclude, false)
-	if len(candidates) == 0 {
-		candidates, members = d.candidates(now, service, class, exclude, true)
+	var candidates []placement.Candidate
+	var members []*roster.Member
+	for choice := followedOnly; choice <= anyKnown && len(candidates) == 0; choice++ {
+		candidates, members = d.candidates(now, service, class, exclude, choice)
 	}
 	i, cost := d.costs.Pick(candidates, d.workOf(class))
 	if i < 0 {
@@ -85,12 +87,23 @@
 	return c, true
 }
 
-// candidates lists the upstreams of the service; with desperate set also those of
-// nodes that seem lost.
-func (d *directory) candidates(now time.Duration, service, class string, exclude []string, desperate bool) ([]placement.Candidate, []*roster.Member) {
+// reach tells which members a request may be sent to.
+type reach int
+
+// Reaches, each with those before it.
+const (
+	// followedOnly are the upstreams whose load the node hears of at once.
+	followedOnly reach = iota
+	// anyHeard are all whose nodes are heard.
+	anyHeard
+	// anyKnown are also those whose nodes seem lost.
+	anyKnown
+)
+
+// candidates lists the upstreams of the service within the reach.
+func (d *directory) candidates(now time.Duration, service, class string, exclude []string, choice reach) ([]placement.Candidate, []*roster.Member) {
 	var list []placement.Candidate
 	var members []*roster.Member
-	period := statusPeriod(d.roster.Len())
 	work := d.workOf(class)
 	d.roster.Each(func(m *roster.Member) {
 		u, s := m.Status.Upstream, m.Status
@@ -99,8 +112,9 @@
 		if s.Service != service || s.Phase != roster.Serving || !u.Open || excluded {
 			return
 		}
+		period := d.period(m)
 		lost := !local && (now-m.Heard > lostPeriods*period || now < m.BlamedUntil)
-		if lost && !desperate {
+		if lost && choice < anyKnown || !local && !m.Followed && choice == followedOnly {
 			return
 		}
 		list = append(list, placement.Candidate{
@@ -149,8 +163,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now, own, before, heard := d.now(), xxhash.Sum64String(d.self), 0, 0
+	heardWithin := silentAfter(d.roster.Len())
 	d.roster.Each(func(m *roster.Member) {
-		if m.Status.Address == d.self || now-m.Heard > missingAfter || m.Status.StoreLost || m.Status.Phase != roster.Serving {
+		if m.Status.Address == d.self || now-m.Heard > heardWithin || m.Status.StoreLost || m.Status.Phase != roster.Serving {
 			return
 		}
 		heard++
--- a/pkg/mesh/fetch.go
+++ b/pkg/mesh/fetch.go
@@ -88,9 +88,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var near, far []string
-	now := d.now()
+	now, heardWithin := d.now(), silentAfter(d.roster.Len())
 	d.roster.Each(func(m *roster.Member) {
-		if m.Status.ConfigVersion <= version || m.Status.Address == d.self || now-m.Heard > missingAfter {
+		if m.Status.ConfigVersion <= version || m.Status.Address == d.self || now-m.Heard > heardWithin {
 			return
 		}
 		if m.Status.Domain == d.domain {
--- a/pkg/mesh/gossip.go
+++ b/pkg/mesh/gossip.go
@@ -21,18 +21,22 @@
 	statusLimit = 1200
 	// minPeriod is the least time between two statuses without news.
 	minPeriod = 250 * time.Millisecond
-	// periodPerMember makes the statuses that a node receives per second constant.
-	periodPerMember = 15 * time.Millisecond
-	// nearGapPerMember bounds the rate of statuses with news in a failure domain.
-	nearGapPerMember = 2 * time.Millisecond
-	// farGapPerMember bounds the rate of statuses with news to other failure domains.
-	farGapPerMember = 4 * time.Millisecond
+	// periodPerMember makes the statuses that a node receives per second constant: 33
+	// of about 150 bytes, within the 7 KB/s that the users allow for control.
+	periodPerMember = 30 * time.Millisecond
+	// periodPerFollower does so for the statuses without news to followers.
+	periodPerFollower = 15 * time.Millisecond
+	// nearGapPerFollower bounds the rate of statuses with news in a failure domain.
+	nearGapPerFollower = 2 * time.Millisecond
+	// farGapPerFollower bounds the rate of statuses with news to other failure
+	// domains, to which bytes are dear.
+	farGapPerFollower = 12 * time.Millisecond
 	// minGap is the least time between two statuses.
 	minGap = 5 * time.Millisecond
 	// missingPeriod is how often a silent member is still told our status, so that a
 	// node that restarts without the store finds the others.
 	missingPeriod = time.Second
-	// missingAfter is the silence after which a member counts as silent.
+	// missingAfter is the least silence after which a member counts as silent.
 	missingAfter = 2 * time.Second
 	// never is a time before any other.
 	never = -time.Hour
@@ -40,11 +44,21 @@
 	forgetAfter = 2 * time.Minute
 )
 
-// statusPeriod returns the time between two statuses without news.
+// statusPeriod returns the time between two statuses without news to all members.
 func statusPeriod(members int) time.Duration {
 	return max(minPeriod, time.Duration(members)*periodPerMember)
 }
 
+// followerPeriod returns the time between two statuses without news to followers.
+func followerPeriod(followers int) time.Duration {
+	return max(minPeriod, time.Duration(followers)*periodPerFollower)
+}
+
+// silentAfter returns the silence after which a member counts as silent.
+func silentAfter(members int) time.Duration {
+	return max(missingAfter, silentPeriods*statusPeriod(members))
+}
+
 // gossip tells the other nodes the status of this one and takes theirs.
 type gossip struct {
 	dir    *directory
@@ -89,60 +103,97 @@
 	}
 }
 
-// send runs until the context ends. Members in the same failure domain hear of each
-// change of the load; those in others, to which bytes are dear, at a lower rate.
-// Changes of the state go to all at once.
+// send runs until the context ends. Followers in the same failure domain hear of
+// each change of the load; those in others, to which bytes are dear, at a lower rate.
+// All other members hear from time to time that the node lives, and at once of
+// changes of its state.
 func (g *gossip) send(ctx context.Context) {
-	var near, far time.Duration
-	nearNews, farNews := true, true
+	var rounds schedule
+	rounds.note()
 	for {
-		members, neighbours := g.dir.counts()
+		a := g.dir.audience()
 		now := g.dir.now()
-		nearDue := near + due(nearNews, time.Duration(neighbours)*nearGapPerMember, members)
-		farDue := far + due(farNews, time.Duration(members)*farGapPerMember, members)
-		if now >= min(nearDue, farDue) {
-			if now >= farDue {
-				far, farNews = now, false
-				g.broadcast(true)
-			} else {
-				g.broadcast(false)
-			}
-			near, nearNews = now, false
+		if to, due := rounds.next(now, a); due {
+			rounds.sent(now, to)
+			g.broadcast(to)
 			continue
 		}
-		timer := time.NewTimer(min(nearDue, farDue) - now)
+		timer := time.NewTimer(rounds.wait(now, a))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return
 		case <-g.news:
-			nearNews, farNews = true, true
+			rounds.note()
 		case <-g.urgent:
-			near, far = never, never
+			rounds.all = never
 		case <-timer.C:
 		}
 		timer.Stop()
 	}
 }
 
-// due returns the time from one status to the next.
-func due(news bool, gap time.Duration, members int) time.Duration {
-	if news {
-		return max(minGap, gap)
+// scope tells which members a status goes to.
+type scope int
+
+// Scopes, each with those before it.
+const (
+	toNear scope = iota
+	toFollowers
+	toAll
+)
+
+// audience counts the members, and those of them that follow the node.
+type audience struct{ members, near, far int }
+
+// schedule holds when statuses were sent last and which followers lack news.
+type schedule struct {
+	near, far, all    time.Duration
+	nearNews, farNews bool
+}
+
+// note tells that there is news.
+func (s *schedule) note() { s.nearNews, s.farNews = true, true }
+
+// sent notes a round. It covers the smaller scopes as well.
+func (s *schedule) sent(now time.Duration, to scope) {
+	s.near, s.nearNews = now, false
+	if to >= toFollowers {
+		s.far, s.farNews = now, false
+	}
+	if to == toAll {
+		s.all = now
+	}
+}
+
+// due returns when the next round of each scope is due.
+func (s *schedule) due(a audience) (near, far, all time.Duration) {
+	period := followerPeriod(a.near + a.far)
+	near, far = s.near+period, s.far+period
+	if s.nearNews {
+		near = s.near + max(minGap, time.Duration(a.near)*nearGapPerFollower)
+	}
+	if s.farNews {
+		far = s.far + max(minGap, time.Duration(a.far)*farGapPerFollower)
 	}
-	return statusPeriod(members)
+	return near, far, s.all + statusPeriod(a.members)
 }
 
-// counts returns the number of members and of those in the same failure domain.
-func (d *directory) counts() (members, neighbours int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.roster.Each(func(m *roster.Member) {
-		if m.Status.Domain == d.domain {
-			neighbours++
-		}
-	})
-	return d.roster.Len(), neighbours
+// next returns the widest round that is due.
+func (s *schedule) next(now time.Duration, a audience) (scope, bool) {
+	near, far, all := s.due(a)
+	switch {
+	case now >= all:
+		return toAll, true
+	case now >= far:
+		return toFollowers, true
+	}
+	return toNear, now >= near
+}
+
+func (s *schedule) wait(now time.Duration, a audience) time.Duration {
+	near, far, all := s.due(a)
+	return min(near, far, all) - now
 }
 
 // sleep reports whether the time passed before the context ended.
@@ -163,11 +214,11 @@
 	incarnation int64
 }
 
-// broadcast sends the status to the members of the same failure domain or to all.
-func (g *gossip) broadcast(all bool) {
+// broadcast sends the status to the members of the scope.
+func (g *gossip) broadcast(to scope) {
 	s := g.next()
 	g.dir.observeSelf(s)
-	for _, t := range g.targets(all) {
+	for _, t := range g.targets(to) {
 		g.sendTo(s, t)
 	}
 }
@@ -188,13 +239,14 @@
 	d.roster.Observe(d.now(), s)
 }
 
-// targets lists the members that are told now: all that are heard, and those that
-// are silent once per missingPeriod.
-func (g *gossip) targets(all bool) []target {
+// targets lists the members that are told now: those of the scope that are heard,
+// and in rounds to all the silent ones, once per missingPeriod.
+func (g *gossip) targets(to scope) []target {
 	g.dir.mu.Lock()
 	defer g.dir.mu.Unlock()
 	now := g.dir.now()
-	missingToo := all && now-g.toldMissing >= missingPeriod
+	missingToo := to == toAll && now-g.toldMissing >= missingPeriod
+	heardWithin := silentAfter(g.dir.roster.Len())
 	if missingToo {
 		g.toldMissing = now
 	}
@@ -209,10 +261,10 @@
 			forget = append(forget, m.Status.Address)
 			return
 		}
-		if !all && m.Status.Domain != g.dir.domain {
+		if !g.dir.within(to, m) {
 			return
 		}
-		if now-m.Heard <= missingAfter || missingToo {
+		if now-m.Heard <= heardWithin || missingToo {
 			list = append(list, target{m.Status.Address, m.Status.Incarnation})
 		}
 	})
--- a/pkg/mesh/gossip_test.go
+++ b/pkg/mesh/gossip_test.go
@@ -14,13 +14,13 @@
 	// The directory's time starts before its first round, as that of a node does.
 	d := newDirectory("127.0.0.1:1", "d1", time.Now().Add(-missingPeriod))
 	g := newGossip(d, nil, event.Discard())
-	g.targets(true)
+	g.targets(toAll)
 	d.roster.Add(d.now(), "127.0.0.1:2")
-	if n := len(g.targets(true)); n != 0 {
+	if n := len(g.targets(toAll)); n != 0 {
 		t.Fatalf("%d silent members are told in a round right after another", n)
 	}
 	g.greet()
-	if list := g.targets(true); len(list) != 1 || list[0].address != "127.0.0.1:2" {
+	if list := g.targets(toAll); len(list) != 1 || list[0].address != "127.0.0.1:2" {
 		t.Errorf("told %v", list)
 	}
 	select {
@@ -37,11 +37,14 @@
 	for address, domain := range map[string]string{"127.0.0.1:2": "d1", "127.0.0.1:3": "d2"} {
 		d.roster.Observe(d.now(), roster.Status{Address: address, Incarnation: 1, Sequence: 1, Domain: domain})
 	}
-	if list := g.targets(false); len(list) != 1 || list[0].address != "127.0.0.1:2" {
+	d.audience()
+	if list := g.targets(toNear); len(list) != 1 || list[0].address != "127.0.0.1:2" {
 		t.Errorf("near round: %v", list)
 	}
-	if list := g.targets(true); len(list) != 2 {
-		t.Errorf("far round: %v", list)
+	for _, to := range []scope{toFollowers, toAll} {
+		if list := g.targets(to); len(list) != 2 {
+			t.Errorf("round of scope %d: %v", to, list)
+		}
 	}
 }
 
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -109,7 +109,7 @@
 		Names: p.Names, Service: s.Service, Dir: n.dir, Peers: n.peers, Sidecar: n.sidecar, Events: p.Events, Metrics: n.metrics,
 	}
 	n.ingress.Provision()
-	n.follower = &follower{configs: p.Configs, events: p.Events, install: n.install, role: n.dir.reader}
+	n.follower = &follower{configs: p.Configs, events: p.Events, install: n.install, spread: n.gossip.tellAll, role: n.dir.reader}
 	n.fetcher = newFetcher(n.follower, n.dir, n.peers, p.Events)
 	n.configs = newConfigServer(n.ingress.Table, p.Events)
 	n.gauges()
@@ -229,10 +229,8 @@
 	switch change {
 	case roster.Joined:
 		n.ports.Events.Emit(event.MemberJoined, fields)
-		n.gossip.tellAll()
 	case roster.Replaced:
 		n.ports.Events.Emit(event.MemberReplaced, fields)
-		n.gossip.tellAll()
 	case roster.Altered:
 		n.ports.Events.Emit(event.MemberAltered, fields)
 	}
@@ -246,7 +244,7 @@
 	if n.tableAt.CompareAndSwap(0, int64(time.Since(n.start))) {
 		n.installed <- struct{}{}
 	}
-	n.gossip.tellAll()
+	n.gossip.tell()
 }
 
 // servePeer serves the calls of other nodes and gives them the configuration.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -72,6 +72,9 @@
 	// Sent counts the requests sent to the node since its last status.
 	Sent int
 	Pace pace.Gauge
+	// Followed members are those whose upstreams this node uses. New members are
+	// until it is decided.
+	Followed bool
 	// BlamedUntil is until when requests avoid the node after it failed to answer.
 	BlamedUntil time.Duration
 }
@@ -92,6 +95,8 @@
 // Roster holds the members by address.
 type Roster struct {
 	members map[string]*Member
+	// generation grows with each change of the set of nodes.
+	generation uint64
 }
 
 // New returns an empty roster.
@@ -100,7 +105,7 @@
 // Add notes an address at which a node may be.
 func (r *Roster) Add(now time.Duration, address string) {
 	if _, ok := r.members[address]; !ok {
-		r.members[address] = &Member{Status: Status{Address: address}, Known: now, Heard: never}
+		r.members[address] = &Member{Status: Status{Address: address}, Known: now, Heard: never, Followed: true}
 	}
 }
 
@@ -111,7 +116,7 @@
 func (r *Roster) Observe(now time.Duration, s Status) Change {
 	m := r.members[s.Address]
 	if m == nil {
-		m = &Member{Known: now, Heard: never}
+		m = &Member{Known: now, Heard: never, Followed: true}
 		r.members[s.Address] = m
 	}
 	old := m.Status
@@ -123,6 +128,9 @@
 		m.BlamedUntil, m.Pace = 0, pace.Gauge{}
 	}
 	m.reportPace(now)
+	if old.Incarnation == 0 || old.Domain != s.Domain || old.Service != s.Service {
+		r.generation++
+	}
 	switch {
 	case old.Incarnation == 0:
 		return Joined
@@ -155,7 +163,13 @@
 func (r *Roster) Member(address string) *Member { return r.members[address] }
 
 // Forget removes a member.
-func (r *Roster) Forget(address string) { delete(r.members, address) }
+func (r *Roster) Forget(address string) {
+	delete(r.members, address)
+	r.generation++
+}
+
+// Generation grows with each change of the set of nodes, their domains or services.
+func (r *Roster) Generation() uint64 { return r.generation }
 
 // Len returns the number of known addresses.
 func (r *Roster) Len() int { return len(r.members) }
