Register a node's address only if it is not registered

Change: a node that restarts reads the addresses first and finds its own. On the first start of the fleet, which the settings tell, it registers first. Test: TestRestartDoesNotRegisterAgain fails without the change (3 registrations).

--- a/cmd/mtmesh/main.go
+++ b/cmd/mtmesh/main.go
@@ -109,6 +109,8 @@
 			events.Emit(event.SettingsInvalid, event.Fields{"error": err.Error()})
 			continue
 		}
+		// It only concerns the start.
+		next.Node.FirstStart = current.Node.FirstStart
 		if next == current {
 			continue
 		}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -304,10 +305,7 @@
 func (n *Node) registerOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
-	if err := n.ports.Registry.Register(ctx, n.settings.PeerAddress); err != nil {
-		return err
-	}
-	addresses, err := n.ports.Registry.Addresses(ctx)
+	addresses, err := n.registered(ctx)
 	if err != nil {
 		return err
 	}
@@ -321,6 +319,23 @@
 	return nil
 }
 
+// registered returns all registered addresses, the node's own among them. Addresses
+// outlive their node, so that one that restarts needs no call to register again. A
+// new one reads after it has registered: of two that start together, the later one
+// sees the other.
+func (n *Node) registered(ctx context.Context) ([]string, error) {
+	if !n.settings.FirstStart {
+		addresses, err := n.ports.Registry.Addresses(ctx)
+		if err != nil || slices.Contains(addresses, n.settings.PeerAddress) {
+			return addresses, err
+		}
+	}
+	if err := n.ports.Registry.Register(ctx, n.settings.PeerAddress); err != nil {
+		return nil, err
+	}
+	return n.ports.Registry.Addresses(ctx)
+}
+
 // reportDrops logs how many lines were dropped since the last report.
 func (n *Node) reportDrops(ctx context.Context) {
 	last := int64(0)
--- a/pkg/mesh/node_test.go
+++ b/pkg/mesh/node_test.go
@@ -68,6 +68,27 @@
 	eventually(t, "the upstream beside it is used again", func() bool { return a.answers("/b/", "b") })
 }
 
+// Calls to the store are dear: a node that restarts finds its address registered.
+func TestRestartDoesNotRegisterAgain(t *testing.T) {
+	store := newMemoryStore()
+	store.publish(t, 1, "a")
+	registrations := func() int {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return len(store.addresses)
+	}
+	settings := newSettings(t, "a", 0)
+	for start := range 3 {
+		settings.FirstStart = start == 0
+		n := startNode(t, settings, &access{memoryStore: store})
+		eventually(t, "the node knows its own address", func() bool { return registrations() > 0 && n.dir.len() > 0 })
+		n.stop()
+	}
+	if n := registrations(); n != 1 {
+		t.Errorf("%d registrations for three starts, want 1", n)
+	}
+}
+
 func TestNodeWithoutConfigurationIsNotReady(t *testing.T) {
 	a := startNode(t, newSettings(t, "a", 0), &access{memoryStore: newMemoryStore()})
 	ready := func() int {
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -31,6 +31,9 @@
 	MetricsAddress string
 	// StopWithin is the time from the stop signal to the end of the process.
 	StopWithin time.Duration
+	// FirstStart is set when the whole fleet starts for the first time, so that no
+	// address is registered yet.
+	FirstStart bool
 	// ProbesPerSecond bounds the probes of the upstream.
 	ProbesPerSecond float64
 }
