Hold work back while its VM is stalled

The prediction took a stall to fade within 300 ms. Ruled out: the knee at four fifths of the slots (runs on calm VMs take 1.1 times their work).

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -13,6 +13,10 @@
 // done, and costs little to run. Work that is much shorter than the longest kind at
 // the upstream therefore goes first and may wait until its deadline.
 //
+// Third load pattern: neighbours stall the VM for some hundred milliseconds. Work
+// that starts then holds its slot several times as long, so it waits for the end of
+// the stall where that is sooner (package pace).
+//
 // The package has no clock, socket or log: times are offsets that the caller
 // passes in. A Gate is not safe for concurrent use.
 package gate
@@ -44,6 +48,8 @@
 	shortShare = 0.5
 	// lateWaitShare of the target is how long a request that can only be late may wait.
 	lateWaitShare = 8
+	// leastPace bounds what a report of the pace may do to service times.
+	leastPace = 0.1
 	// minRetry is the least time after which a refused request is asked to return.
 	minRetry = 50 * time.Millisecond
 )
@@ -75,6 +81,8 @@
 	Deadline time.Duration
 
 	arrived, started time.Duration
+	// pace is that of the VM when the request started.
+	pace float64
 }
 
 // Waited returns how long the request waited for its slot.
@@ -174,6 +182,9 @@
 // Running returns the number of requests that the gate let run.
 func (g *Gate) Running() int { return len(g.running) }
 
+// room reports whether a usable slot is free.
+func (g *Gate) room() bool { return len(g.running)+g.foreign < g.limit() }
+
 func (g *Gate) limit() int { return max(1, int(float64(g.slots)*usableShare)) }
 
 // Service returns the expected service time of the class at the usual pace.
@@ -187,11 +198,33 @@
 	return firstService
 }
 
-func (g *Gate) expect(now time.Duration, class string) time.Duration {
-	s := g.Service(class)
-	return time.Duration(float64(s) * g.pace.Expect(now, s))
+// expect returns when a request of the class begins and ends that gets its slot at
+// the given time.
+func (g *Gate) expect(now, slot time.Duration, class string) (start, end time.Duration) {
+	work := g.Service(class)
+	if slot > now {
+		return slot, slot + g.pace.Later(work)
+	}
+	hold, run := g.pace.Plan(now, work)
+	return now + hold, now + hold + run
+}
+
+// heldBack reports whether the request should wait for the end of a stall although
+// there is a free slot.
+func (g *Gate) heldBack(now time.Duration, r *Request) bool {
+	hold, run := g.pace.Plan(now, g.Service(r.Class))
+	return hold > 0 && now+hold+run < r.Deadline
+}
+
+// start lets the request run.
+func (g *Gate) start(now time.Duration, r *Request) {
+	r.started, r.pace = now, g.pace.At(now)
+	g.running = append(g.running, r)
 }
 
+// Stalled reports whether requests wait for the end of a stall.
+func (g *Gate) Stalled(now time.Duration) bool { return len(g.queue) > 0 && g.pace.Stalled(now) }
+
 // Offer asks for a slot. The request runs at once, waits, or is refused.
 // Requests that it displaces are in the outcome.
 func (g *Gate) Offer(now time.Duration, r *Request) (started bool, refusal *Refusal, o Outcome) {
@@ -203,8 +236,8 @@
 	if now >= r.Deadline {
 		return false, &Refusal{r, ReasonDeadline, 0}, o
 	}
-	if len(g.queue) == 0 && len(g.running)+g.foreign < g.limit() {
-		g.running = append(g.running, r)
+	if len(g.queue) == 0 && g.room() && !g.heldBack(now, r) {
+		g.start(now, r)
 		return true, nil, o
 	}
 	g.queue = append(g.queue, r)
@@ -242,7 +275,7 @@
 }
 
 func (g *Gate) learn(now time.Duration, r *Request) {
-	usual := float64(now-r.started) / max(0.1, g.pace.Expect(now, now-r.started))
+	usual := float64(now-r.started) / max(leastPace, r.pace)
 	old, ok := g.service[r.Class]
 	if !ok {
 		g.service[r.Class] = time.Duration(usual)
@@ -272,17 +305,19 @@
 		return o
 	}
 	g.sort(now)
-	for len(g.queue) > 0 && len(g.running)+g.foreign < g.limit() {
-		r := g.queue[0]
-		g.queue = g.queue[1:]
-		if now >= r.Deadline {
+	kept := g.queue[:0]
+	for _, r := range g.queue {
+		switch {
+		case now >= r.Deadline:
 			o.Refused = append(o.Refused, Refusal{r, ReasonDeadline, 0})
-			continue
+		case g.room() && !g.heldBack(now, r):
+			g.start(now, r)
+			o.Started = append(o.Started, r)
+		default:
+			kept = append(kept, r)
 		}
-		r.started = now
-		g.running = append(g.running, r)
-		o.Started = append(o.Started, r)
 	}
+	g.queue = kept
 	o.Refused = append(o.Refused, g.giveUp(now)...)
 	return o
 }
@@ -304,7 +339,7 @@
 		if g.short(r.Class) {
 			return -1
 		}
-		if now+g.expect(now, r.Class) > r.Target {
+		if _, end := g.expect(now, now, r.Class); end > r.Target {
 			return 1
 		}
 		return 0
@@ -320,8 +355,8 @@
 	g.predict(now)
 	kept := g.queue[:0]
 	for _, r := range g.queue {
-		start := slices.Min(g.free)
-		if reason := g.hopeless(now, start, r); reason != ReasonNone {
+		start, end := g.expect(now, slices.Min(g.free), r.Class)
+		if reason := g.hopeless(start, end, r); reason != ReasonNone {
 			refused = append(refused, Refusal{r, reason, max(minRetry, start-now)})
 			continue
 		}
@@ -332,10 +367,9 @@
 	return refused
 }
 
-// hopeless tells why a request that is predicted to start at the given time
-// should not go on waiting.
-func (g *Gate) hopeless(now, start time.Duration, r *Request) Reason {
-	end := start + g.expect(now, r.Class)
+// hopeless tells why a request that is predicted to start and end at the given
+// times should not go on waiting.
+func (g *Gate) hopeless(start, end time.Duration, r *Request) Reason {
 	if end > r.Deadline {
 		return ReasonDeadline
 	}
@@ -352,9 +386,8 @@
 func (g *Gate) predict(now time.Duration) {
 	g.free = g.free[:0]
 	for _, r := range g.running {
-		s := g.expect(now, r.Class)
-		end := r.started + s
-		g.free = append(g.free, max(end, now+time.Duration(overrun*float64(s))))
+		run := time.Duration(float64(g.Service(r.Class)) * r.pace)
+		g.free = append(g.free, max(r.started+run, now+time.Duration(overrun*float64(run))))
 	}
 	for range g.foreign {
 		g.free = append(g.free, now+firstService)
@@ -377,5 +410,5 @@
 			i = j
 		}
 	}
-	g.free[i] += g.expect(now, r.Class)
+	_, g.free[i] = g.expect(now, g.free[i], r.Class)
 }
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -114,12 +114,12 @@
 		}
 		period := d.period(m)
 		lost := !local && (now-m.Heard > lostPeriods*period || now < m.BlamedUntil)
-		if lost && choice < anyKnown || !local && !m.Followed && choice == followedOnly {
+		if lost && choice < anyKnown || !local && !m.Followed && choice < anyHeard {
 			return
 		}
 		list = append(list, placement.Candidate{
 			Address: s.Address, Local: local, SameDomain: s.Domain == d.domain,
-			Pace: m.Pace.Expect(now, work), Wait: time.Duration(u.WaitMillis) * time.Millisecond,
+			Pace: m.Pace.At(now), Work: workAt(m, now, work), Wait: time.Duration(u.WaitMillis) * time.Millisecond,
 			Free: u.Limit - u.Running - u.Queued - m.Sent, Limit: u.Limit,
 			Service:  time.Duration(u.ServiceMicros) * time.Microsecond,
 			Failures: float64(u.FailurePermille) / 1000,
@@ -131,6 +131,17 @@
 	return list, members
 }
 
+// workAt returns how long the work takes at the upstream beside the member if it gets
+// there now.
+func workAt(m *roster.Member, now, work time.Duration) time.Duration {
+	u := m.Status.Upstream
+	if u.Limit <= u.Running+u.Queued+m.Sent {
+		return m.Pace.Later(work)
+	}
+	hold, run := m.Pace.Plan(now, work)
+	return hold + run
+}
+
 // Ended implements relay.Directory.
 func (d *directory) Ended(c relay.Choice, class string, r *relay.Result) {
 	d.mu.Lock()
@@ -150,10 +161,11 @@
 	if r.Reason == relay.ReasonPeerUnreachable || r.Reason == relay.ReasonPeerFailed {
 		m.BlamedUntil = now + blameTime
 	}
-	if r.Kind == relay.Answered && r.Ran > 0 {
-		usual := float64(r.Ran) / max(0.1, m.Pace.Expect(now, 0))
+	if r.Kind == relay.Answered && r.State.ServiceMicros > 0 {
+		// The upstream's node knows the pace at which the request started.
+		usual := time.Duration(r.State.ServiceMicros) * time.Microsecond
 		old := d.workOf(class)
-		d.work[class] = old + time.Duration(workWeight*(usual-float64(old)))
+		d.work[class] = old + time.Duration(workWeight*float64(usual-old))
 	}
 }
 
--- a/pkg/mesh/probe.go
+++ b/pkg/mesh/probe.go
@@ -16,6 +16,9 @@
 	// paceLimit is the age of the pace from which the upstream is asked for it: the
 	// users' VMs change their pace within 300 ms.
 	paceLimit = 100 * time.Millisecond
+	// stalledPaceLimit is that age while requests wait for the end of a stall: each
+	// millisecond until the end is known is one more of waiting.
+	stalledPaceLimit = 30 * time.Millisecond
 )
 
 // probe asks the upstream for its id when the node starts beside it, for its pace
@@ -29,7 +32,7 @@
 	known := false
 	for ctx.Err() == nil {
 		path := n.ingress.Table().Services[n.settings.Service].HealthPath
-		if path != "" && (!known || n.sidecar.Down() || n.sidecar.PaceAge() > paceLimit) {
+		if path != "" && (!known || n.sidecar.Down() || n.sidecar.PaceAge() > n.paceLimit()) {
 			known = n.probeOnce(ctx, path, known) || known
 		}
 		pause := n.probePause()
@@ -40,6 +43,14 @@
 	}
 }
 
+// paceLimit returns the age from which the upstream is asked for its pace.
+func (n *Node) paceLimit() time.Duration {
+	if n.sidecar.Stalled() {
+		return stalledPaceLimit
+	}
+	return paceLimit
+}
+
 // probeOnce reports whether the upstream answered.
 func (n *Node) probeOnce(ctx context.Context, path string, known bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, downProbe)
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -39,8 +39,11 @@
 	Local bool
 	// SameDomain upstreams are in the node's own failure domain.
 	SameDomain bool
-	// Pace is the expected pace over the request's work.
+	// Pace is the expected pace now.
 	Pace float64
+	// Work is the expected time that the request's work takes there, with the time
+	// that it is held back while the VM is stalled.
+	Work time.Duration
 	// Wait is the predicted wait as last reported.
 	Wait time.Duration
 	// Free is the number of free slots as last reported, less the requests sent
@@ -76,11 +79,9 @@
 	return Costs{Peer: time.Millisecond, CrossDomain: 15 * time.Millisecond, PerNeighbour: 10 * time.Millisecond}
 }
 
-// Cost returns the expected time to the answer of work that takes the given time
-// at the usual pace.
-func (c Costs) Cost(u Candidate, work time.Duration) time.Duration {
-	cost := time.Duration(float64(work) * u.Pace)
-	cost += u.Wait
+// Cost returns the expected time to the answer.
+func (c Costs) Cost(u Candidate) time.Duration {
+	cost := u.Work + u.Wait
 	if u.Free <= 0 && u.Limit > 0 {
 		perRequest := float64(max(u.Service, time.Millisecond)) * u.Pace / float64(u.Limit)
 		cost += time.Duration(float64(1-u.Free) * perRequest)
@@ -109,7 +110,7 @@
 	costs := make([]time.Duration, len(candidates))
 	best := 0
 	for i, u := range candidates {
-		costs[i] = c.Cost(u, work)
+		costs[i] = c.Cost(u)
 		if costs[i] < costs[best] {
 			best = i
 		}
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -8,7 +8,7 @@
 const work = 60 * time.Millisecond
 
 func idle(address string) Candidate {
-	return Candidate{Address: address, SameDomain: true, Pace: 1, Free: 7, Limit: 7, Service: work}
+	return Candidate{Address: address, SameDomain: true, Pace: 1, Work: work, Free: 7, Limit: 7, Service: work}
 }
 
 // share returns how often the candidate is picked.
@@ -28,7 +28,7 @@
 		desc string
 		bad  func(*Candidate)
 	}{
-		{"VM stalled by its neighbours", func(c *Candidate) { c.Pace = 3 }},
+		{"VM stalled by its neighbours", func(c *Candidate) { c.Pace, c.Work = 3, 3*work }},
 		{"queue", func(c *Candidate) { c.Wait, c.Free = 50*time.Millisecond, 0 }},
 		{"many requests sent since the report", func(c *Candidate) { c.Free = -6 }},
 		{"half of the requests fail", func(c *Candidate) { c.Failures = 0.5 }},
@@ -49,7 +49,7 @@
 // must not send all requests to one of them.
 func TestOldReportsDoNotHerd(t *testing.T) {
 	better, worse := idle("a"), idle("b")
-	worse.Pace = 1.1
+	worse.Pace, worse.Work = 1.1, work+work/10
 	better.Age, worse.Age = time.Second, time.Second
 	if got := share([]Candidate{better, worse}, 0); got > 0.7 {
 		t.Errorf("the better one gets %.0f%%", 100*got)
@@ -68,7 +68,7 @@
 // better is not worth the way; with one near upstream it is.
 func TestNeighboursOutweighAFarReport(t *testing.T) {
 	far := idle("far")
-	far.SameDomain, far.Pace = false, 0.2
+	far.SameDomain, far.Work = false, work/5
 	near := []Candidate{far, idle("a")}
 	if got := share(near, 0); got < 0.9 {
 		t.Errorf("one near upstream: the far one gets %.0f%%", 100*got)
--- a/pkg/relay/probe.go
+++ b/pkg/relay/probe.go
@@ -39,6 +39,13 @@
 	return s.now() - s.paceAt
 }
 
+// Stalled reports whether requests wait for the end of a stall of the VM.
+func (s *Sidecar) Stalled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Stalled(s.now())
+}
+
 // Observe takes the load that the upstream stated just now.
 func (s *Sidecar) Observe(l UpstreamLoad) {
 	s.mu.Lock()
