--- a/cmd/mtmesh/main.go
+++ b/cmd/mtmesh/main.go
@@ -9,7 +9,6 @@
 	"syscall"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/urfave/cli/v3"
 
 	"github.com/mulberrytray/mulberrytray/pkg/event"
@@ -25,18 +24,15 @@
 }
 
 func command() *cli.Command {
-	var path, format, level string
-	var check bool
+	var path string
+	var o options
 	return &cli.Command{
 		Name:     "mtmesh",
 		Usage:    "run the node beside an upstream on the users' platform",
 		Commands: []*cli.Command{standaloneCommand()},
-		Flags: []cli.Flag{
+		Flags: o.flags(
 			&cli.StringFlag{Name: "settings", Usage: "path of the platform's settings file", Sources: cli.EnvVars(platform.SettingsVariable), Destination: &path},
-			&cli.StringFlag{Name: "log-format", Usage: "text or json", Value: "json", Sources: cli.EnvVars("MTMESH_LOG_FORMAT"), Destination: &format},
-			&cli.StringFlag{Name: "log-level", Usage: "least severity of the events written: debug, info, warn or error", Value: "info", Sources: cli.EnvVars("MTMESH_LOG_LEVEL"), Destination: &level},
-			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit", Destination: &check},
-		},
+		),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if path == "" {
 				return fmt.Errorf("--settings or %s must name the settings file", platform.SettingsVariable)
@@ -45,23 +41,21 @@
 			if err != nil {
 				return err
 			}
-			if check {
-				_, err := fmt.Fprintln(c.Root().Writer, "all settings are valid")
-				return err
-			}
-			severity, err := log.ParseLevel(level)
-			if err != nil {
-				return fmt.Errorf("log level: %w", err)
+			if o.check {
+				return reportValid(c)
 			}
-			return run(ctx, path, s, event.Format(format), severity)
+			return run(ctx, path, s, o)
 		},
 	}
 }
 
-func run(ctx context.Context, path string, s platform.Settings, format event.Format, level log.Level) error {
+func run(ctx context.Context, path string, s platform.Settings, o options) error {
 	out := event.NewAsyncWriter(os.Stdout)
 	defer out.Close()
-	events := event.NewLogger(out, format, level)
+	events, err := o.logger(out)
+	if err != nil {
+		return err
+	}
 	store := platform.NewStore(s.Store)
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
--- /dev/null
+++ b/cmd/mtmesh/options.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/apex/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mulberrytray/mulberrytray/pkg/event"
+)
+
+// options are the settings that the command has with and without the platform.
+type options struct {
+	logFormat, logLevel string
+	check               bool
+}
+
+// flags returns the flags of the options after those given.
+func (o *options) flags(first ...cli.Flag) []cli.Flag {
+	return append(first,
+		text("log-format", "text or json", "json", &o.logFormat),
+		text("log-level", "least severity of the events written: debug, info, warn or error", "info", &o.logLevel),
+		&cli.BoolFlag{Name: "check", Usage: "check the settings and exit", Destination: &o.check},
+	)
+}
+
+// logger returns a logger that writes to w.
+func (o *options) logger(w io.Writer) (*event.Logger, error) {
+	level, err := log.ParseLevel(o.logLevel)
+	if err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	return event.NewLogger(w, event.Format(o.logFormat), level), nil
+}
+
+// reportValid tells the result of --check.
+func reportValid(c *cli.Command) error {
+	_, err := fmt.Fprintln(c.Root().Writer, "all settings are valid")
+	return err
+}
+
+// text returns a flag that can be set by the environment as well.
+func text(name, usage, value string, to *string) cli.Flag {
+	variable := "MTMESH_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+	return &cli.StringFlag{Name: name, Usage: usage, Value: value, Sources: cli.EnvVars(variable), Destination: to}
+}
--- a/cmd/mtmesh/standalone.go
+++ b/cmd/mtmesh/standalone.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/urfave/cli/v3"
 
 	"github.com/mulberrytray/mulberrytray/pkg/event"
@@ -27,12 +24,11 @@
 // standaloneCommand runs a node whose routes come from a file.
 func standaloneCommand() *cli.Command {
 	var s standaloneSettings
-	var format, level string
-	var check bool
+	var o options
 	return &cli.Command{
 		Name:  "standalone",
 		Usage: "run the node without the platform: routes from a file, other nodes from --peers",
-		Flags: []cli.Flag{
+		Flags: o.flags(
 			text("failure-domain", "failure domain of the VM", "", &s.node.Domain),
 			text("service", "service of the upstream beside the node", "", &s.node.Service),
 			text("upstream-address", "IP:port of the upstream", "127.0.0.1:8091", &s.node.UpstreamAddress),
@@ -45,33 +41,19 @@
 			&cli.StringSliceFlag{Name: "peers", Usage: "peer addresses of other nodes", Sources: cli.EnvVars("MTMESH_PEERS"), Destination: &s.peers},
 			&cli.DurationFlag{Name: "stop-within", Usage: "time from the stop signal to the end of the process (at least 1s)", Value: 6 * time.Second, Sources: cli.EnvVars("MTMESH_STOP_WITHIN"), Destination: &s.node.StopWithin},
 			&cli.FloatFlag{Name: "probes-per-second", Usage: "bound of the probes of the upstream", Value: 20, Sources: cli.EnvVars("MTMESH_PROBES_PER_SECOND"), Destination: &s.node.ProbesPerSecond},
-			text("log-format", "text or json", "json", &format),
-			text("log-level", "least severity of the events written: debug, info, warn or error", "info", &level),
-			&cli.BoolFlag{Name: "check", Usage: "check the settings and the file of routes, and exit", Destination: &check},
-		},
+		),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if err := s.validate(ctx); err != nil {
 				return err
 			}
-			if check {
-				_, err := fmt.Fprintln(c.Root().Writer, "all settings are valid")
-				return err
-			}
-			severity, err := log.ParseLevel(level)
-			if err != nil {
-				return fmt.Errorf("log level: %w", err)
+			if o.check {
+				return reportValid(c)
 			}
-			return s.run(ctx, event.Format(format), severity)
+			return s.run(ctx, o)
 		},
 	}
 }
 
-// text returns a flag that can be set by the environment as well.
-func text(name, usage, value string, to *string) cli.Flag {
-	variable := "MTMESH_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
-	return &cli.StringFlag{Name: name, Usage: usage, Value: value, Sources: cli.EnvVars(variable), Destination: to}
-}
-
 // validate checks the settings and, if there is one, the file of routes.
 func (s *standaloneSettings) validate(ctx context.Context) error {
 	if err := s.node.Validate(); err != nil {
@@ -85,10 +67,13 @@
 	return err
 }
 
-func (s *standaloneSettings) run(ctx context.Context, format event.Format, level log.Level) error {
+func (s *standaloneSettings) run(ctx context.Context, o options) error {
 	out := event.NewAsyncWriter(os.Stdout)
 	defer out.Close()
-	events := event.NewLogger(out, format, level)
+	events, err := o.logger(out)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	return serve(ctx, s.node, mesh.Ports{
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -22,7 +22,6 @@
 package gate
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -187,28 +186,6 @@
 
 func (g *Gate) limit() int { return max(1, int(float64(g.slots)*usableShare)) }
 
-// Service returns the expected service time of the class at the usual pace.
-func (g *Gate) Service(class string) time.Duration {
-	if s, ok := g.service[class]; ok {
-		return s
-	}
-	if s, ok := g.assumed[class]; ok {
-		return s
-	}
-	return firstService
-}
-
-// expect returns when a request of the class begins and ends that gets its slot at
-// the given time.
-func (g *Gate) expect(now, slot time.Duration, class string) (start, end time.Duration) {
-	work := g.Service(class)
-	if slot > now {
-		return slot, slot + g.pace.Later(work)
-	}
-	hold, run := g.pace.Plan(now, work)
-	return now + hold, now + hold + run
-}
-
 // heldBack reports whether the request should wait for the end of a stall although
 // there is a free slot.
 func (g *Gate) heldBack(now time.Duration, r *Request) bool {
@@ -255,13 +232,6 @@
 	return false, nil, o
 }
 
-// assume takes a service time for a route without history from its target.
-func (g *Gate) assume(r *Request) {
-	if _, known := g.service[r.Class]; !known && r.Length > 0 {
-		g.assumed[r.Class] = time.Duration(firstShare * float64(r.Length))
-	}
-}
-
 // Done frees the slot of a request. A service time is learnt only from requests
 // that the upstream ran to their end.
 func (g *Gate) Done(now time.Duration, r *Request, ranToEnd bool) Outcome {
@@ -274,17 +244,6 @@
 	return g.advance(now)
 }
 
-func (g *Gate) learn(now time.Duration, r *Request) {
-	usual := float64(now-r.started) / max(leastPace, r.pace)
-	old, ok := g.service[r.Class]
-	if !ok {
-		g.service[r.Class] = time.Duration(usual)
-		delete(g.assumed, r.Class)
-		return
-	}
-	g.service[r.Class] = old + time.Duration(serviceWeight*(usual-float64(old)))
-}
-
 // Withdraw removes a request that waits. It reports whether it was there.
 func (g *Gate) Withdraw(r *Request) bool {
 	i := slices.Index(g.queue, r)
@@ -321,94 +280,3 @@
 	o.Refused = append(o.Refused, g.giveUp(now)...)
 	return o
 }
-
-// short reports whether the work of the class takes little of the upstream.
-func (g *Gate) short(class string) bool {
-	longest := time.Duration(0)
-	for _, s := range g.service {
-		longest = max(longest, s)
-	}
-	s, known := g.service[class]
-	return known && float64(s) < shortShare*float64(longest)
-}
-
-// sort puts short work first, then requests that can meet their target before those that cannot, then
-// orders by rank and by the moment of the target.
-func (g *Gate) sort(now time.Duration) {
-	class := func(r *Request) int {
-		if g.short(r.Class) {
-			return -1
-		}
-		if _, end := g.expect(now, now, r.Class); end > r.Target {
-			return 1
-		}
-		return 0
-	}
-	slices.SortStableFunc(g.queue, func(a, b *Request) int {
-		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Target, b.Target))
-	})
-}
-
-// giveUp removes the requests that are predicted to start too late.
-func (g *Gate) giveUp(now time.Duration) []Refusal {
-	var refused []Refusal
-	g.predict(now)
-	kept := g.queue[:0]
-	for _, r := range g.queue {
-		start, end := g.expect(now, slices.Min(g.free), r.Class)
-		if reason := g.hopeless(start, end, r); reason != ReasonNone {
-			refused = append(refused, Refusal{r, reason, max(minRetry, start-now)})
-			continue
-		}
-		g.take(now, r)
-		kept = append(kept, r)
-	}
-	g.queue = kept
-	return refused
-}
-
-// hopeless tells why a request that is predicted to start and end at the given
-// times should not go on waiting.
-func (g *Gate) hopeless(start, end time.Duration, r *Request) Reason {
-	if end > r.Deadline {
-		return ReasonDeadline
-	}
-	if end <= r.Target || g.short(r.Class) {
-		return ReasonNone
-	}
-	if start > r.arrived+r.Length/lateWaitShare {
-		return ReasonDisplaced
-	}
-	return ReasonNone
-}
-
-// predict fills g.free with the times at which the usable slots become free.
-func (g *Gate) predict(now time.Duration) {
-	g.free = g.free[:0]
-	for _, r := range g.running {
-		run := time.Duration(float64(g.Service(r.Class)) * r.pace)
-		g.free = append(g.free, max(r.started+run, now+time.Duration(overrun*float64(run))))
-	}
-	for range g.foreign {
-		g.free = append(g.free, now+firstService)
-	}
-	for len(g.free) < g.limit() {
-		g.free = append(g.free, now)
-	}
-	slices.Sort(g.free)
-	// More may run than is usable just after the number of slots fell.
-	if n := len(g.free) - g.limit(); n > 0 {
-		g.free = g.free[n:]
-	}
-}
-
-// take gives the slot that is free first to the request.
-func (g *Gate) take(now time.Duration, r *Request) {
-	i := 0
-	for j := range g.free {
-		if g.free[j] < g.free[i] {
-			i = j
-		}
-	}
-	_, g.free[i] = g.expect(now, g.free[i], r.Class)
-}
--- a/pkg/mesh/directory_test.go
+++ b/pkg/mesh/directory_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/mulberrytray/mulberrytray/internal/await"
 	"github.com/mulberrytray/mulberrytray/pkg/relay"
 	"github.com/mulberrytray/mulberrytray/pkg/roster"
 )
@@ -13,7 +14,7 @@
 // A node is avoided after it gave no answer, but not because callers left: when many
 // leave early, that would take sound nodes out of the choice.
 func TestCallersWhoLeaveDoNotBlameTheNode(t *testing.T) {
-	silent := freeAddress(t) // nobody listens there
+	silent := await.FreeAddress(t) // nobody listens there
 	tests := []struct {
 		desc   string
 		cancel bool
--- a/pkg/mesh/fetch_test.go
+++ b/pkg/mesh/fetch_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/mulberrytray/mulberrytray/internal/await"
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/relay"
 	"github.com/mulberrytray/mulberrytray/pkg/roster"
@@ -55,7 +56,7 @@
 	defer cancel()
 	go fetch.run(ctx)
 	fetch.want()
-	eventually(t, "the configuration arrives", func() bool { return f.version() == 7 })
+	await.Eventually(t, "the configuration arrives", func() bool { return f.version() == 7 })
 }
 
 func TestNewerPrefersTheOwnFailureDomain(t *testing.T) {
@@ -143,11 +144,11 @@
 		}
 	}
 	peers := relay.NewHTTPPeers()
-	eventually(t, "a third receiver is refused", func() bool {
+	await.Eventually(t, "a third receiver is refused", func() bool {
 		_, err := peers.Config(context.Background(), address)
 		return err != nil
 	})
-	eventually(t, "it is served in the end", func() bool {
+	await.Eventually(t, "it is served in the end", func() bool {
 		_, err := peers.Config(context.Background(), address)
 		return err == nil
 	})
--- a/pkg/mesh/helper_test.go
+++ b/pkg/mesh/helper_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -14,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/mulberrytray/mulberrytray/internal/await"
 	"github.com/mulberrytray/mulberrytray/pkg/announce"
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/relay"
@@ -172,17 +172,6 @@
 	done     chan struct{}
 }
 
-// freeAddress returns an address that is free for TCP and UDP.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // newSettings returns settings with an upstream that takes the given time.
 func newSettings(t *testing.T, service string, work time.Duration) Settings {
 	t.Helper()
@@ -198,8 +187,8 @@
 	}))
 	t.Cleanup(upstream.Close)
 	return Settings{
-		Domain: "d1", Service: service, UpstreamAddress: upstream.Listener.Addr().String(), CallerAddress: freeAddress(t), PeerAddress: freeAddress(t),
-		ReadyAddress: freeAddress(t), AnnounceAddress: freeAddress(t), MetricsAddress: freeAddress(t), StopWithin: minStop,
+		Domain: "d1", Service: service, UpstreamAddress: upstream.Listener.Addr().String(), CallerAddress: await.FreeAddress(t), PeerAddress: await.FreeAddress(t),
+		ReadyAddress: await.FreeAddress(t), AnnounceAddress: await.FreeAddress(t), MetricsAddress: await.FreeAddress(t), StopWithin: minStop,
 	}
 }
 
@@ -269,18 +258,6 @@
 	return resp.StatusCode, string(b), err
 }
 
-// eventually waits until the condition holds.
-func eventually(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	for range 1000 {
-		if holds() {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	t.Fatalf("not within 10 s: %s", what)
-}
-
 func (n *testNode) answers(path, body string) bool {
 	status, got, err := n.ask(path)
 	return err == nil && status == http.StatusOK && got == body
--- a/pkg/mesh/node_test.go
+++ b/pkg/mesh/node_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/mulberrytray/mulberrytray/internal/await"
 	"github.com/mulberrytray/mulberrytray/pkg/announce"
 )
 
@@ -19,7 +20,7 @@
 	store.publish(t, 1, "a", "b")
 	a := startNode(t, newSettings(t, "a", 0), &access{memoryStore: store})
 	b := startNode(t, newSettings(t, "b", 0), &access{memoryStore: store})
-	eventually(t, "a request through the other node", func() bool { return a.answers("/b/", "b") && b.answers("/a/", "a") })
+	await.Eventually(t, "a request through the other node", func() bool { return a.answers("/b/", "b") && b.answers("/a/", "a") })
 }
 
 // A change that one node reads is in force on nodes that don't reach the store.
@@ -28,11 +29,11 @@
 	store.publish(t, 1, "a")
 	a := startNode(t, newSettings(t, "a", 0), &access{memoryStore: store})
 	b := startNode(t, newSettings(t, "b", 0), &access{memoryStore: store})
-	eventually(t, "first version", func() bool { return a.follower.version() == 1 && b.follower.version() == 1 })
+	await.Eventually(t, "first version", func() bool { return a.follower.version() == 1 && b.follower.version() == 1 })
 	b.access.cut(true)
 	time.Sleep(50 * time.Millisecond)
 	store.publish(t, 2, "a", "b")
-	eventually(t, "second version", func() bool { return b.follower.version() == 2 })
+	await.Eventually(t, "second version", func() bool { return b.follower.version() == 2 })
 }
 
 // An older configuration never replaces a newer one.
@@ -40,7 +41,7 @@
 	store := newMemoryStore()
 	store.publish(t, 7, "a")
 	a := startNode(t, newSettings(t, "a", 0), &access{memoryStore: store})
-	eventually(t, "version 7", func() bool { return a.follower.version() == 7 })
+	await.Eventually(t, "version 7", func() bool { return a.follower.version() == 7 })
 	store.publish(t, 6, "a", "b")
 	time.Sleep(2 * followGap)
 	if v := a.follower.version(); v != 7 {
@@ -59,13 +60,13 @@
 	a := startNode(t, newSettings(t, "a", 0), &access{memoryStore: store})
 	settings := newSettings(t, "b", 0)
 	b := startNode(t, settings, &access{memoryStore: store})
-	eventually(t, "both know each other", func() bool { return a.answers("/b/", "b") })
+	await.Eventually(t, "both know each other", func() bool { return a.answers("/b/", "b") })
 	b.stop()
 	cut := &access{memoryStore: store}
 	cut.cut(true)
 	b = startNode(t, settings, cut)
-	eventually(t, "configuration and upstreams from the other node", func() bool { return b.answers("/a/", "a") })
-	eventually(t, "the upstream beside it is used again", func() bool { return a.answers("/b/", "b") })
+	await.Eventually(t, "configuration and upstreams from the other node", func() bool { return b.answers("/a/", "a") })
+	await.Eventually(t, "the upstream beside it is used again", func() bool { return a.answers("/b/", "b") })
 }
 
 // Calls to the store are dear: a node that restarts finds its address registered.
@@ -81,7 +82,7 @@
 	for start := range 3 {
 		settings.FirstStart = start == 0
 		n := startNode(t, settings, &access{memoryStore: store})
-		eventually(t, "the node knows its own address", func() bool { return registrations() > 0 && n.dir.len() > 0 })
+		await.Eventually(t, "the node knows its own address", func() bool { return registrations() > 0 && n.dir.len() > 0 })
 		n.stop()
 	}
 	if n := registrations(); n != 1 {
@@ -106,7 +107,7 @@
 		t.Errorf("request: status %d, %v; want 503, since the route may exist", status, err)
 	}
 	a.access.publish(t, 1, "a")
-	eventually(t, "ready with a configuration", func() bool { return ready() == http.StatusOK })
+	await.Eventually(t, "ready with a configuration", func() bool { return ready() == http.StatusOK })
 }
 
 // After an upstream has announced that it leaves, nothing new reaches it, though
@@ -117,7 +118,7 @@
 	a := startNode(t, newSettings(t, "a", 0), &access{memoryStore: store})
 	b := startNode(t, newSettings(t, "b", 0), &access{memoryStore: store})
 	b.announce(announce.Ready, 1)
-	eventually(t, "the upstream is used", func() bool { return a.answers("/b/", "b") })
+	await.Eventually(t, "the upstream is used", func() bool { return a.answers("/b/", "b") })
 	b.announce(announce.Draining, 2)
 	for range 20 {
 		if status, _, err := a.ask("/b/"); err != nil || status != http.StatusServiceUnavailable {
@@ -133,7 +134,7 @@
 	settings := newSettings(t, "a", 20*time.Millisecond)
 	settings.StopWithin = 5 * time.Second
 	a := startNode(t, settings, &access{memoryStore: store})
-	eventually(t, "the upstream is used", func() bool { return a.answers("/a/", "a") })
+	await.Eventually(t, "the upstream is used", func() bool { return a.answers("/a/", "a") })
 	var stopping atomic.Bool
 	var wg sync.WaitGroup
 	for range 4 {
@@ -162,7 +163,7 @@
 	settings.StopWithin = 5 * time.Second
 	a := startNode(t, settings, &access{memoryStore: store})
 	b := startNode(t, newSettings(t, "a", 700*time.Millisecond), &access{memoryStore: store})
-	eventually(t, "the other node's upstream is used", func() bool { return a.answers("/a/", "a") })
+	await.Eventually(t, "the other node's upstream is used", func() bool { return a.answers("/a/", "a") })
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	var wg sync.WaitGroup
 	for range 4 {
@@ -209,15 +210,15 @@
 			return true
 		}
 	}
-	eventually(t, "first version everywhere", inForce(1))
-	eventually(t, "all know each other", func() bool { return fleet[0].dir.len() == nodes })
+	await.Eventually(t, "first version everywhere", inForce(1))
+	await.Eventually(t, "all know each other", func() bool { return fleet[0].dir.len() == nodes })
 	time.Sleep(2 * rolePause)
 	store.mu.Lock()
 	before := store.reads
 	store.mu.Unlock()
 	start := time.Now()
 	store.publish(t, 2, "a")
-	eventually(t, "second version everywhere", inForce(2))
+	await.Eventually(t, "second version everywhere", inForce(2))
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	// A reader reads the change and waits for the next one.
@@ -235,7 +236,7 @@
 	store := newMemoryStore()
 	store.publish(t, 1, "a")
 	startNode(t, settings, &access{memoryStore: store})
-	eventually(t, "first probe", func() bool { return count.Load() > 0 })
+	await.Eventually(t, "first probe", func() bool { return count.Load() > 0 })
 	before, start := count.Load(), time.Now()
 	time.Sleep(2 * time.Second)
 	n, took := count.Load()-before, time.Since(start)
@@ -248,7 +249,7 @@
 	store := newMemoryStore()
 	store.publish(t, 4, "a")
 	a := startNode(t, newSettings(t, "a", 0), &access{memoryStore: store})
-	eventually(t, "an answer", func() bool { return a.answers("/a/", "a") })
+	await.Eventually(t, "an answer", func() bool { return a.answers("/a/", "a") })
 	resp, err := http.Get("http://" + a.settings.MetricsAddress + "/metrics")
 	if err != nil {
 		t.Fatal(err)
--- a/pkg/standalone/standalone_test.go
+++ b/pkg/standalone/standalone_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -14,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/mulberrytray/mulberrytray/internal/await"
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/mesh"
 )
@@ -25,16 +25,6 @@
   - {name: r, host: h, prefix: /r/, idempotent: true, target: 200ms, timeout: 2s, max_attempts: 2, shares: [{service: %s, weight: 1}]}
 `
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // node is a running node beside an upstream that answers with its service's name
 // and knows nothing of the product's headers.
 type node struct {
@@ -47,8 +37,8 @@
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, service) }))
 	t.Cleanup(upstream.Close)
 	s := mesh.Settings{
-		Domain: "d", Service: service, UpstreamAddress: upstream.Listener.Addr().String(), CallerAddress: freeAddress(t), PeerAddress: freeAddress(t),
-		ReadyAddress: freeAddress(t), AnnounceAddress: freeAddress(t), StopWithin: time.Second,
+		Domain: "d", Service: service, UpstreamAddress: upstream.Listener.Addr().String(), CallerAddress: await.FreeAddress(t), PeerAddress: await.FreeAddress(t),
+		ReadyAddress: await.FreeAddress(t), AnnounceAddress: await.FreeAddress(t), StopWithin: time.Second,
 	}
 	n, err := mesh.New(s, mesh.Ports{
 		Names: Names(), Configs: Routes{Path: path}, Registry: Peers(peers), Announcements: Announcements(service, s.UpstreamAddress, event.Discard()),
@@ -103,17 +93,6 @@
 	return resp.StatusCode, string(b)
 }
 
-func eventually(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	for range 1000 {
-		if holds() {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	t.Fatalf("not within 10 s: %s", what)
-}
-
 func write(t *testing.T, path, content string) {
 	t.Helper()
 	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
@@ -137,15 +116,15 @@
 	answered := func(n node, want string) func() bool {
 		return func() bool { status, got := n.ask(); return status == http.StatusOK && got == want }
 	}
-	eventually(t, "a's callers reach b", answered(a, "b"))
+	await.Eventually(t, "a's callers reach b", answered(a, "b"))
 	write(t, path, fmt.Sprintf(routesFile, 2, "a"))
-	eventually(t, "the change is in force at a", answered(a, "a"))
-	eventually(t, "the change is in force at b", answered(b, "a"))
+	await.Eventually(t, "the change is in force at a", answered(a, "a"))
+	await.Eventually(t, "the change is in force at b", answered(b, "a"))
 	a.announce(t, "first-a", "draining")
-	eventually(t, "nothing goes to the draining upstream", func() bool { status, _ := b.ask(); return status == http.StatusServiceUnavailable })
+	await.Eventually(t, "nothing goes to the draining upstream", func() bool { status, _ := b.ask(); return status == http.StatusServiceUnavailable })
 	a.announce(t, "second-a", "ready")
 	a.announce(t, "first-a", "draining")
-	eventually(t, "the next start is used, whatever the ended one says", answered(b, "a"))
+	await.Eventually(t, "the next start is used, whatever the ended one says", answered(b, "a"))
 }
 
 func TestAnnouncementOfAnotherServiceIsRefused(t *testing.T) {
