--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,72 @@
+package replay
+
+import (
+	"bytes"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func scenario(t *testing.T, name string) Scenario {
+	t.Helper()
+	for _, s := range Scenarios() {
+		if s.Name == name {
+			return s
+		}
+	}
+	t.Fatalf("no scenario %q", name)
+	return Scenario{}
+}
+
+// Arrivals, work and stalls follow from the seed alone, so that rules are compared on
+// the same load. Placement draws by itself; the central rule does not draw at all.
+func TestSameSeedSameRun(t *testing.T) {
+	s := scenario(t, "counter, burst")
+	rule := Rule{Central: true}
+	if a, b := Run(&s, rule, 7), Run(&s, rule, 7); !reflect.DeepEqual(a, b) {
+		t.Errorf("two runs of one seed differ: %+v, %+v", a, b)
+	}
+	a, b := Run(&s, rule, 7), Run(&s, Rule{Random: true, Queue: true}, 7)
+	if a.Asked != b.Asked || !reflect.DeepEqual(a.Owed, b.Owed) {
+		t.Errorf("two rules get %d and %d requests of one seed", a.Asked, b.Asked)
+	}
+}
+
+// Each request ends once: answered in time or late, refused, or cut at its deadline.
+func TestEachRequestEndsOnce(t *testing.T) {
+	for _, s := range Scenarios() {
+		for _, rule := range Rules() {
+			r := Run(&s, rule, 3)
+			if ended := r.InTarget + r.Late + r.Refused + r.Cut; ended != r.Asked {
+				t.Errorf("%s, %s: %d of %d requests ended", s.Name, rule.Name, ended, r.Asked)
+			}
+		}
+	}
+}
+
+// Guards against changes of gate, placement or pace that lose what they are for: in a
+// burst on stalled VMs they must serve clearly more than simpler rules.
+func TestDecisionsBeatSimplerRules(t *testing.T) {
+	const seeds, margin = 5, 0.05
+	s := scenario(t, "counter, burst, one slow")
+	rows := Compare(s, Rules(), seeds)
+	ours := rows[0]
+	for _, r := range rows[1:] {
+		if !strings.HasPrefix(r.Rule, "central") && ours.Worth < r.Worth+margin {
+			t.Errorf("%s: worth %.3f, %s %.3f", ours.Rule, ours.Worth, r.Rule, r.Worth)
+		}
+	}
+}
+
+func TestTableNamesEachRule(t *testing.T) {
+	s := scenario(t, "catalogue")
+	var b bytes.Buffer
+	if err := Print(&b, Compare(s, Rules(), 1)); err != nil {
+		t.Fatal(err)
+	}
+	for _, rule := range Rules() {
+		if !strings.Contains(b.String(), rule.Name) {
+			t.Errorf("%q is missing in\n%s", rule.Name, b.String())
+		}
+	}
+}
