--- a/pkg/mesh/gossip.go
+++ b/pkg/mesh/gossip.go
@@ -191,6 +191,7 @@
 	return toNear, now >= near
 }
 
+// wait returns the time until the next round.
 func (s *schedule) wait(now time.Duration, a audience) time.Duration {
 	near, far, all := s.due(a)
 	return min(near, far, all) - now
