Make two tests independent of chance

TestStopAnswersCallersThatKeepComing: its metrics port had been given to an outgoing connection between the look and its use (address already in use). TestBudgetHolds (rapid): the test's clock missed a time that the budget had seen, because it was read only when something had been sent; the budget was right to hold credit. Change: free ports come from below the kernel's range, none twice; the test reads its clock at each retry.

--- a/internal/await/await.go
+++ b/internal/await/await.go
@@ -2,7 +2,10 @@
 package await
 
 import (
+	"math/rand/v2"
 	"net"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 )
@@ -26,13 +29,40 @@
 	t.Fatalf("not within %v: %s", limit, what)
 }
 
-// FreeAddress returns a loopback address on which nobody listens.
+const (
+	// firstPort to lastPort lie below the ports that the kernel takes for outgoing
+	// connections, which would otherwise take a port between the look and its use.
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// taken holds the ports that were returned.
+var taken sync.Map
+
+// FreeAddress returns a loopback address on which nobody listens, over TCP or UDP. It
+// returns no address twice. Packages are tested side by side, so the port is random.
 func FreeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort - firstPort {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		if _, used := taken.LoadOrStore(address, true); !used && free(address) {
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+func free(address string) bool {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		t.Fatal(err)
+		return false
 	}
 	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	p, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = p.Close() }()
+	return true
 }
--- a/pkg/retry/budget_test.go
+++ b/pkg/retry/budget_test.go
@@ -41,13 +41,15 @@
 			},
 			"back": func(*rapid.T) { now = now.Add(-time.Second) },
 			"retry": func(t *rapid.T) {
+				// The budget sees the time here too, also when nothing was sent yet.
+				at := clock()
 				if !b.Retry() {
 					return
 				}
 				retries++
 				recent := 0
 				for _, s := range sends {
-					if clock().Sub(s) <= window {
+					if at.Sub(s) <= window {
 						recent++
 					}
 				}
