Let an upstream's share of failures fade with time

Cause: the share that other nodes hear moved with results only. An upstream whose first requests failed cost 224 ms more than others, got nothing and so never a better share. Change: pkg/relay keeps the share in a type of its own, which falls by a factor of e in 2 s without results, as package routing does. Test: TestFailuresFadeWhileNothingIsSent fails before (651 in 1,000 after 4 s of silence).

--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -193,11 +193,7 @@
 func (s *Sidecar) observeResult(ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	sample := 1.0
-	if ok {
-		sample = 0
-	}
-	s.failures += failureWeight * (sample - s.failures)
+	s.failures.observe(s.now(), ok)
 }
 
 func (s *Sidecar) done(r *gate.Request, ranToEnd bool) {
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -18,8 +18,6 @@
 	answerSlack = 100 * time.Millisecond
 	// deadlineTick is how often waiting requests are checked against time.
 	deadlineTick = 10 * time.Millisecond
-	// failureWeight is the part of one result in the share of failures.
-	failureWeight = 0.1
 	// loadStep is the change of the number of requests that others are told of.
 	loadStep = 1
 	// downRetry is when requests that meet an upstream that is down should return.
@@ -44,7 +42,7 @@
 	down        bool
 	stopping    bool
 	waiting     map[*gate.Request]chan *Result
-	failures    float64
+	failures    failureShare
 	meanService time.Duration
 	paceAt      time.Duration
 	declared    UpstreamLoad
@@ -158,7 +156,7 @@
 	u := roster.Upstream{
 		ID: s.tracker.Current().ID, Open: st.Open, Limit: st.Limit, Running: st.Running, Queued: st.Queued,
 		WaitMillis: int(st.Wait.Milliseconds()), ServiceMicros: int(s.meanService.Microseconds()),
-		FailurePermille: int(s.failures * 1000),
+		FailurePermille: int(s.failures.value(now) * 1000),
 	}
 	if s.paceAt > 0 {
 		u.Pace, u.PaceAgeMillis = int(st.Pace*100), int((now - s.paceAt).Milliseconds())
