Trace the failure of pkg/mesh: a test of transfers raced with itself

TestStandingReceiversDoNotBlockOthers asked as the third receiver before the two standing ones had begun. It took a place of theirs, the later one was refused (its connection idles in the dump), so that never both places were taken. Each look unpacks 12 MB, and Eventually counted 1,000 looks instead of 10 s, hence the minutes. Ruled out: ports (the range of the kernel starts at 32768, none was shared), other nodes' gossip (the test runs none). Change: the test waits until both places are taken and then asks once; Eventually ends after 10 s. The bound of the check is stricter than before: one look instead of any of 1,000.

--- a/internal/await/await.go
+++ b/internal/await/await.go
@@ -20,7 +20,7 @@
 // Eventually waits until the condition holds, and fails the test if it does not.
 func Eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
-	for range limit / pause {
+	for end := time.Now().Add(limit); time.Now().Before(end); {
 		if holds() {
 			return
 		}
--- a/pkg/mesh/fetch_test.go
+++ b/pkg/mesh/fetch_test.go
@@ -127,7 +127,8 @@
 func TestStandingReceiversDoNotBlockOthers(t *testing.T) {
 	table := largeTable(t)
 	table.Source = []byte(strings.Repeat(string(table.Source), 20))
-	server := httptest.NewServer(newConfigServer(func() *route.Table { return table }, event.Discard()))
+	configs := newConfigServer(func() *route.Table { return table }, event.Discard())
+	server := httptest.NewServer(configs)
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	for range configSends {
@@ -143,11 +144,12 @@
 			t.Fatal(err)
 		}
 	}
+	// A receiver that asks sooner takes the place of one of these, which is refused then.
+	await.Eventually(t, "both places are taken", func() bool { return len(configs.sends) == configSends })
 	peers := relay.NewHTTPPeers()
-	await.Eventually(t, "a third receiver is refused", func() bool {
-		_, err := peers.Config(context.Background(), address)
-		return err != nil
-	})
+	if _, err := peers.Config(context.Background(), address); err == nil {
+		t.Error("a third receiver is served beside them")
+	}
 	await.Eventually(t, "it is served in the end", func() bool {
 		_, err := peers.Config(context.Background(), address)
 		return err == nil
