Say once that no demand is known

Change: mtctl prints one line if no scenario has ranks. Single scenarios without ranks are shown as before (golden files unchanged).

--- a/cmd/mtctl/plan.go
+++ b/cmd/mtctl/plan.go
@@ -24,6 +24,10 @@
 	if len(p.Changes) == 0 {
 		fmt.Fprintln(w, "\nThe intent changes nothing.")
 	}
+	if !slices.ContainsFunc(p.Scenarios, func(s plan.Scenario) bool { return len(ranksOf(s)) > 0 }) {
+		fmt.Fprintln(w, "\nNo demand is known, so the plan cannot tell what each rank would get.")
+		return nil
+	}
 	for _, s := range p.Scenarios {
 		if err := writeScenario(w, s); err != nil {
 			return err
@@ -43,12 +47,15 @@
 	}
 }
 
-// writeScenario writes what each rank gets, in requests per second. Losses come
-// first, since they decide whether to confirm.
+// ranksOf returns the ranks of a scenario. Losses come first, since they decide
+// whether to confirm.
+func ranksOf(s plan.Scenario) []plan.RankChange { return slices.Concat(s.Losses, s.Gains, s.Unchanged) }
+
+// writeScenario writes what each rank gets, in requests per second.
 func writeScenario(w io.Writer, s plan.Scenario) error {
 	fmt.Fprintf(w, "\nAt %s times the present demand, worth served per second: %s -> %s (%s)\n",
 		number(s.DemandFactor), number(s.WorthNow), number(s.WorthProposed), signed(s.WorthProposed-s.WorthNow))
-	ranks := slices.Concat(s.Losses, s.Gains, s.Unchanged)
+	ranks := ranksOf(s)
 	if len(ranks) == 0 {
 		fmt.Fprintln(w, "  no demand is known")
 		return nil
