--- /dev/null
+++ b/cmd/mtctl/explain.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/mulberrytray/mulberrytray/pkg/logview"
+)
+
+// logTime has the precision of the log lines that matter within one request.
+const logTime = "15:04:05.000"
+
+// explainLog shows what logs of nodes tell about one request.
+func explainLog(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() < 1 {
+		return &usageError{"log takes an id and any number of files: ID [FILE...]"}
+	}
+	r := logview.NewReader(c.Args().First())
+	if c.Args().Len() == 1 {
+		if err := r.Read(c.Root().Reader, "stdin"); err != nil {
+			return err
+		}
+	}
+	for _, name := range c.Args().Tail() {
+		if err := readLog(r, name); err != nil {
+			return err
+		}
+	}
+	story, err := r.Story()
+	if err != nil {
+		return err
+	}
+	if c.String("output") == "json" {
+		return show(c, story, nil)
+	}
+	return writeStory(c.Root().Writer, story)
+}
+
+func readLog(r *logview.Reader, name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	base := filepath.Base(name)
+	return r.Read(f, strings.TrimSuffix(base, filepath.Ext(base)))
+}
+
+// writeStory writes the lines of the request and then what was known around it.
+func writeStory(w io.Writer, s logview.Story) error {
+	fmt.Fprintln(w, "The request and the calls made for it:")
+	for _, l := range s.Request {
+		if err := writeLine(w, l); err != nil {
+			return err
+		}
+	}
+	if len(s.Around) == 0 {
+		fmt.Fprintln(w, "\nThe nodes that it met noted no change around it.")
+	} else {
+		fmt.Fprintln(w, "\nWhat the nodes that it met noted around it:")
+	}
+	for _, l := range s.Around {
+		if err := writeLine(w, l); err != nil {
+			return err
+		}
+	}
+	if s.Unread > 0 {
+		fmt.Fprintf(w, "\n%d lines were no structured log lines.\n", s.Unread)
+	}
+	return nil
+}
+
+// writeLine writes a line of the log with its fields in the order of their names. The
+// nodes that were tried come last, each on a line of its own.
+func writeLine(w io.Writer, l logview.Line) error {
+	var fields []string
+	for name, value := range l.Fields {
+		if name == "event" || name == "path" || value == "" {
+			continue
+		}
+		encoded, err := json.Marshal(value)
+		if err != nil {
+			return fmt.Errorf("field %s: %w", name, err)
+		}
+		fields = append(fields, name+"="+strings.Trim(string(encoded), `"`))
+	}
+	slices.Sort(fields)
+	fmt.Fprintf(w, "%s %s %d %s: %s\n", l.Time.In(time.UTC).Format(logTime), l.Process, l.Event(), l.Message, strings.Join(fields, " "))
+	for _, tried := range l.Tried() {
+		fmt.Fprintln(w, "    tried", tried)
+	}
+	return nil
+}
--- a/cmd/mtctl/main.go
+++ b/cmd/mtctl/main.go
@@ -67,6 +67,7 @@
   mtctl drain katalog-1
   mtctl explain request 5f0c3c9e
   mtctl explain upstream katalog-1
+  mtctl explain log 5f0c3c9e node-*.json
 
 Exit codes: 0 done, 1 failure, 2 wrong usage, 3 refused intent or confirmation.`
 
@@ -94,6 +95,7 @@
 			leaf("undrain", "give a node's upstream work again", "NODE", "mtctl undrain katalog-1", setDrain(false)),
 			{Name: "explain", Usage: "show why a node decided as it did", Description: example("mtctl explain request 5f0c3c9e"), Action: noCommand, Commands: []*cli.Command{
 				leaf("request", "show the decisions about a request", "ID", "mtctl explain request 5f0c3c9e", explainRequest),
+				{Name: "log", Usage: "show what the logs of all nodes tell about a request", ArgsUsage: "ID [FILE...]", Description: example("mtctl explain log 5f0c3c9e node-*.json"), Action: explainLog},
 				leaf("upstream", "show how an upstream is rated", "NODE", "mtctl explain upstream katalog-1", explainUpstream),
 			}},
 		},
--- /dev/null
+++ b/pkg/logview/logview_test.go
@@ -0,0 +1,103 @@
+package logview
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/apex/log"
+
+	"github.com/mulberrytray/mulberrytray/pkg/event"
+)
+
+// Lines of two nodes as a collector of logs writes them, out of order.
+const collected = `
+  20.300 node-b {"fields":{"event":1401,"id":"r1.c1","path":"10.0.0.3:1 cost=5ms","took_ms":20},"level":"info","timestamp":"2026-04-01T06:00:20.300Z","message":"request answered"}
+   1.000 node-a {"fields":{"event":1001,"peer":"10.0.0.1:1"},"level":"info","timestamp":"2026-04-01T06:00:01Z","message":"node starting"}
+   1.000 node-b {"fields":{"event":1001,"peer":"10.0.0.2:1"},"level":"info","timestamp":"2026-04-01T06:00:01Z","message":"node starting"}
+   1.000 node-c {"fields":{"event":1001,"peer":"10.0.0.3:1"},"level":"info","timestamp":"2026-04-01T06:00:01Z","message":"node starting"}
+   1.000 node-d {"fields":{"event":1001,"peer":"10.0.0.4:1"},"level":"info","timestamp":"2026-04-01T06:00:01Z","message":"node starting"}
+  20.100 node-b {"fields":{"event":1308,"upstream":"u2"},"level":"warn","timestamp":"2026-04-01T06:00:20.100Z","message":"upstream takes no connections"}
+  20.100 node-d {"fields":{"event":1308,"upstream":"u4"},"level":"warn","timestamp":"2026-04-01T06:00:20.100Z","message":"upstream takes no connections"}
+  10.000 node-c {"fields":{"event":1302,"upstream":"u3"},"level":"info","timestamp":"2026-04-01T06:00:10Z","message":"upstream ready"}
+  20.400 node-a {"fields":{"event":1402,"id":"r1","path":"10.0.0.2:1 cost=9ms failed:answer-lost","took_ms":300},"level":"warn","timestamp":"2026-04-01T06:00:20.400Z","message":"request refused or failed"}
+  20.400 node-a {"fields":{"event":1402,"id":"r10","path":"10.0.0.4:1","took_ms":300},"level":"warn","timestamp":"2026-04-01T06:00:20.400Z","message":"request refused or failed"}
+a line of something else
+`
+
+// tell lists process and event of lines.
+func tell(lines []Line) string {
+	var out []string
+	for _, l := range lines {
+		out = append(out, fmt.Sprint(l.Process, " ", l.Event()))
+	}
+	return strings.Join(out, ", ")
+}
+
+func TestStoryFollowsARequest(t *testing.T) {
+	r := NewReader("r1")
+	if err := r.Read(strings.NewReader(collected), "file"); err != nil {
+		t.Fatal(err)
+	}
+	s, err := r.Story()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := tell(s.Request), "node-b 1401, node-a 1402"; got != want {
+		t.Errorf("request: %s, want %s", got, want)
+	}
+	// Not the fault at node-d, which the request did not meet, nor the start of the upstream long before.
+	if got, want := tell(s.Around), "node-b 1308"; got != want {
+		t.Errorf("around: %s, want %s", got, want)
+	}
+	// The first and the last line, and the line of something else.
+	if s.Unread != 2 {
+		t.Errorf("%d lines not read, want 2", s.Unread)
+	}
+}
+
+func TestUnknownRequestIsAnError(t *testing.T) {
+	r := NewReader("r")
+	if err := r.Read(strings.NewReader(collected), "file"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.Story(); !errors.Is(err, ErrNotFound) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestTriedNodesAreTakenApart(t *testing.T) {
+	l := Line{Fields: map[string]any{"path": "10.0.0.2:1 cost=9ms free=-1 refused:busy 10.0.0.3:1 cost=12ms answered"}}
+	if got := strings.Join(l.Tried(), "|"); got != "10.0.0.2:1 cost=9ms free=-1 refused:busy|10.0.0.3:1 cost=12ms answered" {
+		t.Errorf("got %s", got)
+	}
+}
+
+// The reader and the writer of logs must agree.
+func TestLinesOfTheLoggerAreRead(t *testing.T) {
+	var b bytes.Buffer
+	event.NewLogger(&b, event.FormatJSON, log.InfoLevel).Emit(event.RequestFailed, event.Fields{"id": "r1", "took_ms": 3})
+	r := NewReader("r1")
+	if err := r.Read(&b, "node-a"); err != nil {
+		t.Fatal(err)
+	}
+	s, err := r.Story()
+	if err != nil || tell(s.Request) != "node-a 1402" || s.Request[0].Message != event.RequestFailed.Message {
+		t.Errorf("%+v, %v", s, err)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(collected)
+	f.Fuzz(func(t *testing.T, log string) {
+		r := NewReader("r1")
+		if err := r.Read(strings.NewReader(log), "file"); err != nil {
+			return
+		}
+		if s, err := r.Story(); err == nil && len(s.Request) == 0 {
+			t.Error("a story without a line")
+		}
+	})
+}
