--- a/internal/replay/fleet.go
+++ b/internal/replay/fleet.go
@@ -299,6 +299,7 @@
 	if float64(u.running) > knee*float64(f.scenario.Slots) {
 		run *= kneeTimes
 	}
+	run += float64(r.class.Calls)
 	// An upstream ends work at the deadline.
 	end := min(now+time.Duration(run), max(now, r.at+r.class.Deadline))
 	whole := now+time.Duration(run) <= r.at+r.class.Deadline
@@ -337,11 +338,11 @@
 	kept := f.pending[:0]
 	for _, r := range f.pending {
 		work := time.Duration(float64(r.class.Work) * r.factor)
-		if now+work > r.at+r.class.Target {
+		if now+work+r.class.Calls > r.at+r.class.Target {
 			f.result.refused(r)
 			continue
 		}
-		if i := f.best(now); i >= 0 && now+time.Duration(float64(work)*f.upstreams[i].paceAt(now)) <= r.at+r.class.Target {
+		if i := f.best(now); i >= 0 && now+time.Duration(float64(work)*f.upstreams[i].paceAt(now))+r.class.Calls <= r.at+r.class.Target {
 			f.start(now, i, r)
 			continue
 		}
--- a/internal/replay/model.go
+++ b/internal/replay/model.go
@@ -3,8 +3,8 @@
 // upstreams. It has no sockets, nodes or protocol, so that thousands of seconds of
 // load take seconds, and two rules can be compared on the same arrivals.
 //
-// The model leaves out calls between upstreams, failures, restarts and callers who
-// come back, so its figures rank rules and do not predict those of a fleet.
+// The model has the time that calls between upstreams take, not their load. It leaves
+// out failures, restarts and callers who come back, so its figures rank rules and do not predict those of a fleet.
 package replay
 
 import (
@@ -18,18 +18,20 @@
 	Name string
 	// PerSecond is the rate of arrivals for the whole service.
 	PerSecond float64
-	// Work is the median time that a request takes on a calm VM.
-	Work             time.Duration
+	// Work is the median time that a request takes on a calm VM. Calls is how long it
+	// then waits for calls to other services; it holds its slot for both.
+	Work, Calls      time.Duration
 	Target, Deadline time.Duration
 	// Worth of an answer within the target, and Late after it.
 	Worth, Late float64
 	Rank        int
 }
 
-// Burst multiplies the arrivals for a time.
+// Burst multiplies the arrivals for a time, of one class if it is named.
 type Burst struct {
 	At, For time.Duration
 	Times   float64
+	Class   string
 }
 
 // Scenario is a service and its load.
@@ -79,7 +81,7 @@
 	for i := range s.Classes {
 		c := &s.Classes[i]
 		for at := time.Duration(0); ; {
-			rate := c.PerSecond * s.times(at)
+			rate := c.PerSecond * s.times(at, c.Name)
 			at += time.Duration(r.ExpFloat64() / rate * float64(time.Second))
 			if at >= s.Length {
 				break
@@ -105,11 +107,11 @@
 	return list
 }
 
-// times returns by how much the load is multiplied at the moment.
-func (s *Scenario) times(at time.Duration) float64 {
+// times returns by how much the load of the class is multiplied at the moment.
+func (s *Scenario) times(at time.Duration, class string) float64 {
 	t := 1.0
 	for _, b := range s.Bursts {
-		if at >= b.At && at < b.At+b.For {
+		if at >= b.At && at < b.At+b.For && (b.Class == "" || b.Class == class) {
 			t *= b.Times
 		}
 	}
@@ -126,6 +128,13 @@
 		{Name: "availability", PerSecond: 220, Work: 60 * time.Millisecond, Target: 200 * time.Millisecond, Deadline: 800 * time.Millisecond, Worth: 0.89, Late: 0.089, Rank: 1},
 		{Name: "reservation", PerSecond: 30, Work: 78 * time.Millisecond, Target: 500 * time.Millisecond, Deadline: time.Second, Worth: 0.89, Late: 0.13, Rank: 2},
 	}
+	// The catalogue also takes the reservations of another service, as when operators
+	// split a route.
+	shared := []Class{
+		{Name: "availability", PerSecond: 52, Work: 160 * time.Millisecond, Calls: 70 * time.Millisecond, Target: 500 * time.Millisecond, Deadline: 2 * time.Second, Worth: 0.89, Late: 0.089, Rank: 1},
+		{Name: "reservation", PerSecond: 16, Work: 210 * time.Millisecond, Calls: 40 * time.Millisecond, Target: 1200 * time.Millisecond, Deadline: 3 * time.Second, Worth: 0.89, Late: 0.13, Rank: 2},
+	}
+	reservations := []Burst{{At: 8 * time.Second, For: 6 * time.Second, Times: 4, Class: "reservation"}}
 	burst := []Burst{{At: 8 * time.Second, For: 5 * time.Second, Times: 1.9}}
 	base := Scenario{Upstreams: 4, Domains: 3, Slots: 12, StallShare: 0.35, StallPace: 4, Length: 30 * time.Second}
 	with := func(name string, classes []Class, slots int, bursts []Burst, slow int) Scenario {
@@ -140,5 +149,6 @@
 		with("catalogue", catalogue, 9, nil, 0),
 		with("catalogue, burst", catalogue, 9, burst, 0),
 		with("catalogue, burst, one slow", catalogue, 9, burst, 1),
+		with("shared, burst of reservations", shared, 9, reservations, 0),
 	}
 }
