Hold short work back if only the end of a stall meets its target

Change: the gate also holds work back if it would be late in the stall and in time after it. Otherwise it starts as before, since late is better than not at all. Test: TestShortWorkWaitsIfItMeetsItsTargetThen fails before.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -187,10 +187,15 @@
 func (g *Gate) limit() int { return max(1, int(float64(g.slots)*usableShare)) }
 
 // heldBack reports whether the request should wait for the end of a stall although
-// there is a free slot.
+// there is a free slot: if it would end sooner then, or in time only then.
 func (g *Gate) heldBack(now time.Duration, r *Request) bool {
-	hold, run := g.pace.Plan(now, g.Service(r.Class))
-	return hold > 0 && now+hold+run < r.Deadline
+	work := g.Service(r.Class)
+	hold, run := g.pace.Plan(now, work)
+	if hold > 0 {
+		return now+hold+run < r.Deadline
+	}
+	rest, after := g.pace.AfterStall(now, work)
+	return rest > 0 && now+run > r.Target && now+rest+after <= r.Target
 }
 
 // start lets the request run.
--- a/pkg/gate/stall_test.go
+++ b/pkg/gate/stall_test.go
@@ -90,3 +90,31 @@
 	}
 	t.Logf("%d answers in time, %d when work starts in stalls", held, started)
 }
+
+// Short work of 60 ms in a stall would take 240 ms. It waits for the end of the stall
+// if only then it meets its target, and starts at once otherwise: late is better than
+// not at all.
+func TestShortWorkWaitsIfItMeetsItsTargetThen(t *testing.T) {
+	const stallAt, work = time.Second, 60 * time.Millisecond
+	for _, c := range []struct {
+		name         string
+		into, target time.Duration
+		waits        bool
+	}{
+		{"end of the stall meets the target", 200 * time.Millisecond, work * 10 / 3, true},
+		{"the target is met in the stall", 200 * time.Millisecond, 300 * time.Millisecond, false},
+		{"the end of the stall is too late", 50 * time.Millisecond, work * 10 / 3, false},
+	} {
+		g := New()
+		g.Open(0, testSlots)
+		g.service["a"] = work
+		g.Pace(0, 1)
+		g.Pace(stallAt, stallPace)
+		now := stallAt + c.into
+		g.Pace(now, stallPace)
+		started, refusal, _ := g.Offer(now, request("a", 0, now, c.target, time.Second))
+		if refusal != nil || started == c.waits {
+			t.Errorf("%s: started %v, refusal %v", c.name, started, refusal)
+		}
+	}
+}
--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -107,8 +107,7 @@
 	if !g.Stalled(now) {
 		return 0, run
 	}
-	rest := period - (now-g.since)%period
-	calm := scale(work, g.calm)
+	rest, calm := g.AfterStall(now, work)
 	if rest+scale(period, repeatShare)+calm < run {
 		return rest, calm
 	}
@@ -124,4 +123,13 @@
 	return min(scale(work, g.mean), scale(work, g.calm)+scale(period, repeatShare))
 }
 
+// AfterStall returns how long the present stall is expected to last and how long the
+// work takes after it. Without a stall, that is no time and the expected one.
+func (g *Gauge) AfterStall(now, work time.Duration) (rest, run time.Duration) {
+	if !g.Stalled(now) {
+		return 0, scale(work, g.At(now))
+	}
+	return period - (now-g.since)%period, scale(work, g.calm)
+}
+
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
