Deliver an upstream's error if the repeat brings no answer

Cause: an idempotent request whose first upstream answered 500 was sent once more; if that found no room, the caller got a 502 of the node (reason earlier-send-unknown) and the upstream's answer was thrown away. Change: the answer is kept, if all of it is there, and delivered when the repeat is refused, declined or fails. Test: TestAnswerOfTheFirstUpstreamIsDelivered fails before (502 without seal).

--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -123,6 +123,9 @@
 	detail   []string
 	// mayHaveRun is set after a send with unknown outcome.
 	mayHaveRun bool
+	// answer is the error that an upstream answered with before the request was sent
+	// once more, or nil.
+	answer *Result
 }
 
 // ServeHTTP implements http.Handler.
@@ -249,6 +252,9 @@
 		if ctx.Err() != nil || !in.mayRepeat(t, result, budget) {
 			return t.giveUp(last)
 		}
+		if result.Kind == Answered && result.Rest == nil {
+			t.answer = result
+		}
 		result.close()
 	}
 }
@@ -270,9 +276,12 @@
 	return t.sends < max(1, t.route.MaxAttempts) && budget.Retry()
 }
 
-// giveUp returns the result that the caller gets: never "not run" if an earlier
-// send may have run.
+// giveUp returns the result that the caller gets: an upstream's own answer if there is
+// one, and never "not run" if an earlier send may have run.
 func (t *trip) giveUp(last *Result) *Result {
+	if t.answer != nil && (last == nil || last.Kind != Answered) {
+		return t.answer
+	}
 	if last == nil {
 		return refused("no-upstream", noUpstreamRetry)
 	}
--- a/pkg/relay/ingress_test.go
+++ b/pkg/relay/ingress_test.go
@@ -101,6 +101,18 @@
 	}
 }
 
+// An error that an upstream answered with is delivered if the repeat brings no answer.
+func TestAnswerOfTheFirstUpstreamIsDelivered(t *testing.T) {
+	for name, second := range map[string]func(net.Conn, *http.Request){"declined": decline, "reset": reset} {
+		bad, other := startUpstream(t, serverError), startUpstream(t, second)
+		in := newTestIngress(t, startPeer(t, newTestSidecar(bad, 4)), startPeer(t, newTestSidecar(other, 4)))
+		status, _, h := call(t, in, "/safe/")
+		if status != http.StatusInternalServerError || h.Get(testNames.Seal) == "" {
+			t.Errorf("%s: status %d, seal %q; want the upstream's answer", name, status, h.Get(testNames.Seal))
+		}
+	}
+}
+
 func TestRefusalTellsWhenToReturn(t *testing.T) {
 	u := startUpstream(t, decline)
 	in := newTestIngress(t, startPeer(t, newTestSidecar(u, 4)))
