Let regions that were apart for an hour meet again

Cause: a member that was silent for two minutes was forgotten on both sides, and the registry is read once at a start. Failure domains or regions that part for longer, as the users' do for an hour now and then, would never have met again. Registered addresses were never removed, so that each start knocked at all nodes there ever were. Not run: two real regions for an hour.

--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -96,7 +96,7 @@
 	followedOnly reach = iota
 	// anyHeard are all whose nodes are heard.
 	anyHeard
-	// anyKnown are also those whose nodes seem lost.
+	// anyKnown are also those whose nodes seem lost, but are not gone.
 	anyKnown
 )
 
@@ -135,6 +135,9 @@
 // there now.
 func workAt(m *roster.Member, now, work time.Duration) time.Duration {
 	u := m.Status.Upstream
+		if !local && now-m.Heard > goneAfter {
+			return
+		}
 	if u.Limit <= u.Running+u.Queued+m.Sent {
 		return m.Pace.Later(work)
 	}
--- a/pkg/mesh/gossip.go
+++ b/pkg/mesh/gossip.go
@@ -33,15 +33,8 @@
 	farGapPerFollower = 12 * time.Millisecond
 	// minGap is the least time between two statuses.
 	minGap = 5 * time.Millisecond
-	// missingPeriod is how often a silent member is still told our status, so that a
-	// node that restarts without the store finds the others.
-	missingPeriod = time.Second
-	// missingAfter is the least silence after which a member counts as silent.
-	missingAfter = 2 * time.Second
 	// never is a time before any other.
 	never = -time.Hour
-	// forgetAfter is how long a silent member is kept.
-	forgetAfter = 2 * time.Minute
 )
 
 // statusPeriod returns the time between two statuses without news to all members.
@@ -54,11 +47,6 @@
 	return max(minPeriod, time.Duration(followers)*periodPerFollower)
 }
 
-// silentAfter returns the silence after which a member counts as silent.
-func silentAfter(members int) time.Duration {
-	return max(missingAfter, silentPeriods*statusPeriod(members))
-}
-
 // gossip tells the other nodes the status of this one and takes theirs.
 type gossip struct {
 	dir    *directory
@@ -70,6 +58,8 @@
 	heard func(roster.Status, roster.Change)
 	// news asks for a status soon, urgent for one now.
 	news, urgent chan struct{}
+	// forgotten takes the addresses of members that were dropped.
+	forgotten chan string
 
 	mu          sync.Mutex
 	incarnation int64
@@ -79,7 +69,10 @@
 }
 
 func newGossip(dir *directory, conn *net.UDPConn, events *event.Logger) *gossip {
-	return &gossip{dir: dir, conn: conn, events: events, news: make(chan struct{}, 1), urgent: make(chan struct{}, 1), incarnation: time.Now().UnixMilli()}
+	return &gossip{
+		dir: dir, conn: conn, events: events, news: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
+		forgotten: make(chan string, unregisterQueue), incarnation: time.Now().UnixMilli(),
+	}
 }
 
 // tell asks for a status to be sent soon. It never blocks.
@@ -241,39 +234,50 @@
 }
 
 // targets lists the members that are told now: those of the scope that are heard,
-// and in rounds to all the silent ones, once per missingPeriod.
+// and in rounds to all some of the silent ones, once per missingPeriod. A greeting
+// goes to all of them.
 func (g *gossip) targets(to scope) []target {
 	g.dir.mu.Lock()
 	defer g.dir.mu.Unlock()
 	now := g.dir.now()
+	greeting := g.toldMissing == never
 	missingToo := to == toAll && now-g.toldMissing >= missingPeriod
 	heardWithin := silentAfter(g.dir.roster.Len())
 	if missingToo {
 		g.toldMissing = now
 	}
 	var list []target
+	var silent []silentMember
 	var forget []string
 	g.dir.roster.Each(func(m *roster.Member) {
 		silence := now - max(m.Heard, m.Known)
-		if m.Status.Address == g.dir.self {
-			return
-		}
-		if silence > forgetAfter {
-			forget = append(forget, m.Status.Address)
-			return
-		}
-		if !g.dir.within(to, m) {
-			return
-		}
-		if now-m.Heard <= heardWithin || missingToo {
-			list = append(list, target{m.Status.Address, m.Status.Incarnation})
+		t := target{m.Status.Address, m.Status.Incarnation}
+		switch {
+		case t.address == g.dir.self:
+		case silence > forgetAfter:
+			forget = append(forget, t.address)
+		case !g.dir.within(to, m):
+		case now-m.Heard <= heardWithin || (missingToo && greeting):
+			list = append(list, t)
+		case missingToo:
+			silent = append(silent, silentMember{t, silence})
 		}
 	})
 	for _, address := range forget {
-		g.dir.roster.Forget(address)
-		g.events.Emit(event.MemberForgotten, event.Fields{"member": address, "after_ms": forgetAfter.Milliseconds()})
+		g.forget(address)
+	}
+	return append(list, chooseSilent(silent)...)
+}
+
+// forget drops a member. The directory's lock is held.
+func (g *gossip) forget(address string) {
+	g.dir.roster.Forget(address)
+	g.events.Emit(event.MemberForgotten, event.Fields{"member": address, "after_ms": forgetAfter.Milliseconds()})
+	select {
+	case g.forgotten <- address:
+	default:
+		// The address stays registered: the next node that starts learns and forgets it.
 	}
-	return list
 }
 
 func (g *gossip) sendTo(s roster.Status, t target) {
--- a/pkg/mesh/helper_test.go
+++ b/pkg/mesh/helper_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -143,6 +144,17 @@
 	return nil
 }
 
+func (a *access) Unregister(_ context.Context, address string) error {
+	if err := a.err(); err != nil {
+		return err
+	}
+	s := a.memoryStore
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addresses = slices.DeleteFunc(s.addresses, func(known string) bool { return known == address })
+	return nil
+}
+
 func (a *access) Addresses(context.Context) ([]string, error) {
 	if err := a.err(); err != nil {
 		return nil, err
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -188,6 +188,7 @@
 	n.spawn(func() { n.follower.run(work) })
 	n.spawn(func() { n.fetcher.run(work) })
 	n.spawn(func() { n.register(work) })
+	n.spawn(func() { n.unregister(work) })
 	n.spawn(func() { n.sidecar.Watch(work) })
 	n.spawn(func() { n.probe(work) })
 	n.spawn(func() { n.reportDrops(work) })
--- a/pkg/mesh/ports.go
+++ b/pkg/mesh/ports.go
@@ -33,6 +33,8 @@
 type Registry interface {
 	// Register leaves the address.
 	Register(ctx context.Context, address string) error
+	// Unregister removes an address.
+	Unregister(ctx context.Context, address string) error
 	// Addresses returns all addresses that were left.
 	Addresses(ctx context.Context) ([]string, error)
 }
--- a/pkg/standalone/standalone.go
+++ b/pkg/standalone/standalone.go
@@ -30,5 +30,8 @@
 // Register implements mesh.Registry. There is nowhere to leave the address.
 func (Peers) Register(context.Context, string) error { return nil }
 
+// Unregister implements mesh.Registry.
+func (Peers) Unregister(context.Context, string) error { return nil }
+
 // Addresses implements mesh.Registry.
 func (p Peers) Addresses(context.Context) ([]string, error) { return p, nil }
