Assume the work of new routes from their target, and bound what is kept of old ones

Change: the directory assumes 0.3 of the target as the gate does; beyond 1,024 names, those of routes that are gone are dropped when a table is installed. Tests: TestWorkOfNewRoutesFollowsTheirTarget (before: 30 ms), TestServiceTimesOfRoutesThatAreGoneAreDropped.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -49,6 +49,8 @@
 	lateWaitShare = 8
 	// leastPace bounds what a report of the pace may do to service times.
 	leastPace = 0.1
+	// spareClasses are kept although their routes are gone; some 60 KB.
+	spareClasses = 1024
 	// minRetry is the least time after which a refused request is asked to return.
 	minRetry = 50 * time.Millisecond
 )
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -264,3 +265,16 @@
 		t.Errorf("%d requests wait for slots that can serve %d in time", waiting, most)
 	}
 }
+
+// Thousands of configurations a day name their routes anew.
+func TestServiceTimesOfRoutesThatAreGoneAreDropped(t *testing.T) {
+	g := New()
+	for i := range 5 * spareClasses {
+		g.service["old-"+strconv.Itoa(i)] = time.Millisecond
+	}
+	g.service["kept"] = time.Millisecond
+	g.Keep(func(class string) bool { return class == "kept" })
+	if len(g.service) != 1 {
+		t.Errorf("%d classes are kept", len(g.service))
+	}
+}
--- a/pkg/gate/predict.go
+++ b/pkg/gate/predict.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -35,6 +36,16 @@
 	}
 }
 
+// Keep drops the service times of classes that are not known any more, if there are
+// many: nodes with an older configuration still send some of them for a while.
+func (g *Gate) Keep(known func(class string) bool) {
+	for _, times := range []map[string]time.Duration{g.service, g.assumed} {
+		if len(times) > spareClasses {
+			maps.DeleteFunc(times, func(class string, _ time.Duration) bool { return !known(class) })
+		}
+	}
+}
+
 func (g *Gate) learn(now time.Duration, r *Request) {
 	usual := float64(now-r.started) / max(leastPace, r.pace)
 	old, ok := g.service[r.Class]
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/mulberrytray/mulberrytray/pkg/placement"
 	"github.com/mulberrytray/mulberrytray/pkg/relay"
 	"github.com/mulberrytray/mulberrytray/pkg/roster"
+	"github.com/mulberrytray/mulberrytray/pkg/route"
 )
 
 const (
@@ -21,12 +23,16 @@
 	lostPeriods = 6
 	// silentPeriods without a status make a node a worse choice.
 	silentPeriods = 3
-	// firstWork is the work assumed for a route without history.
-	firstWork = 30 * time.Millisecond
+	// firstShare of its target is the work assumed for a route without history, as in
+	// package gate, and firstWork that of a route which is not known.
+	firstShare = 0.3
+	firstWork  = 30 * time.Millisecond
 	// minReaders read the store in any fleet, so that several may lose it at once.
 	minReaders = 5
 	// membersPerReader is the number of members that one reader stands for.
 	membersPerReader = 15
+	// spareRoutes are kept although they are gone, as in package gate.
+	spareRoutes = 1024
 	// workWeight is the part of a new measurement in the mean work of a route.
 	workWeight = 0.1
 )
@@ -42,6 +48,7 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
+	table  *route.Table
 	work   map[string]time.Duration
 	links  links
 }
@@ -60,9 +67,23 @@
 	if w, ok := d.work[class]; ok {
 		return w
 	}
+	if d.table != nil && d.table.Has(class) {
+		return time.Duration(firstShare * float64(d.table.Route(class).Target))
+	}
 	return firstWork
 }
 
+// install takes a new table. The mean work of routes that are gone is dropped if there
+// are many.
+func (d *directory) install(t *route.Table) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table = t
+	if len(d.work) > spareRoutes {
+		maps.DeleteFunc(d.work, func(name string, _ time.Duration) bool { return !t.Has(name) })
+	}
+}
+
 // Choose implements relay.Directory.
 func (d *directory) Choose(service, class string, exclude []string) (relay.Choice, bool) {
 	d.mu.Lock()
@@ -114,6 +135,9 @@
 		}
 		period := d.period(m)
 		lost := !local && (now-m.Heard > lostPeriods*period || now < m.BlamedUntil)
+		if !local && now-m.Heard > goneAfter {
+			return
+		}
 		if lost && choice < anyKnown || !local && !m.Followed && choice < anyHeard {
 			return
 		}
@@ -135,9 +159,6 @@
 // there now.
 func workAt(m *roster.Member, now, work time.Duration) time.Duration {
 	u := m.Status.Upstream
-		if !local && now-m.Heard > goneAfter {
-			return
-		}
 	if u.Limit <= u.Running+u.Queued+m.Sent {
 		return m.Pace.Later(work)
 	}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -243,6 +243,8 @@
 
 func (n *Node) install(t *route.Table) {
 	n.ingress.Install(t)
+	n.sidecar.Install(t)
+	n.dir.install(t)
 	if n.tableAt.CompareAndSwap(0, int64(time.Since(n.start))) {
 		n.installed <- struct{}{}
 	}
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -9,6 +9,7 @@
 	"github.com/mulberrytray/mulberrytray/pkg/exchange"
 	"github.com/mulberrytray/mulberrytray/pkg/gate"
 	"github.com/mulberrytray/mulberrytray/pkg/roster"
+	"github.com/mulberrytray/mulberrytray/pkg/route"
 	"github.com/mulberrytray/mulberrytray/pkg/suspect"
 )
 
@@ -112,6 +113,13 @@
 	s.urgent()
 }
 
+// Install tells which routes there are now.
+func (s *Sidecar) Install(t *route.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate.Keep(t.Has)
+}
+
 // Known returns id and start of the upstream that the sidecar knows.
 func (s *Sidecar) Known() (id string, born int64) {
 	s.mu.Lock()
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -68,12 +68,12 @@
 	Source []byte
 
 	hosts map[string][]*Route
-	names map[string]bool
+	names map[string]*Route
 }
 
 // NewTable checks the routes and returns a table of them. Errors wrap ErrInvalid.
 func NewTable(version uint64, limits Limits, services []Service, routes []*Route) (*Table, error) {
-	t := &Table{Version: version, Limits: limits, Services: map[string]Service{}, hosts: map[string][]*Route{}, names: map[string]bool{}}
+	t := &Table{Version: version, Limits: limits, Services: map[string]Service{}, hosts: map[string][]*Route{}, names: map[string]*Route{}}
 	for _, s := range services {
 		t.Services[s.Name] = s
 	}
@@ -82,7 +82,7 @@
 			return nil, err
 		}
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
-		t.names[r.Name] = true
+		t.names[r.Name] = r
 	}
 	for _, of := range t.hosts {
 		slices.SortStableFunc(of, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -124,8 +124,11 @@
 	return nil
 }
 
+// Route returns the route of the name, or nil.
+func (t *Table) Route(name string) *Route { return t.names[name] }
+
 // Has reports whether a route of the name is in the table.
-func (t *Table) Has(name string) bool { return t.names[name] }
+func (t *Table) Has(name string) bool { return t.names[name] != nil }
 
 // HasService reports whether the table knows the service.
 func (t *Table) HasService(name string) bool {
