Keep callers' connections and headers to the configured limits

Cause: callers' connections had fixed limits, 3 min idle and 10 s for a header, and headers 1 MB, whatever the operators set (an open point of docs/platform.md). Callers reuse connections that were idle for up to four fifths of the limit, so a configuration with more than 225 s would have cut their requests, and one with 15 s kept idle connections, and their descriptors, twelve times as long. Change: connections without a whole header are closed after the idle and the header limit in force; a header beyond its limit is answered with 431.

--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -24,10 +24,7 @@
 const (
 	// aloneAfter is how long a node that hears no other waits before it is ready.
 	aloneAfter = 1200 * time.Millisecond
-	// idleLimit closes caller connections that have been idle for longer than any
-	// configured limit.
-	idleLimit = 3 * time.Minute
-	// headerLimit is how long a caller may take to send the header of a request.
+	// headerLimit is how long others than callers may take to send the header of a request.
 	headerLimit = 10 * time.Second
 	// unreadyTime is how long a stopping node still takes requests: its callers need
 	// two failed readiness checks, one a second, until they turn to another node.
@@ -142,7 +139,7 @@
 
 func (n *Node) listen() error {
 	s := n.settings
-	callers := &http.Server{Handler: n.ingress, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}
+	callers := &http.Server{Handler: n.ingress, ConnState: newConnections(n.ingress.Table).note}
 	list := []struct {
 		name, address string
 		server        *http.Server
--- a/pkg/relay/header.go
+++ b/pkg/relay/header.go
@@ -25,3 +25,16 @@
 	}
 	return out
 }
+
+// headerBytes returns the size of the request line and the headers as they were sent.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators
+	n += len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return n
+}
--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -140,6 +140,10 @@
 		in.reject(w, r, http.StatusServiceUnavailable, "no-configuration", noConfigRetry)
 		return
 	}
+	if limit := table.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
+		in.reject(w, r, http.StatusRequestHeaderFieldsTooLarge, "header-too-large", 0)
+		return
+	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	rt := table.Match(r.Host, path)
 	if rt == nil {
