Keep urgent work with a tight target before lesser work that can wait

Cause: the gate judged by the mean over stalls whether waiting work still meets its target. Change: work is given up only if it misses its target even when no further stall meets it; the same decides whether it is put behind.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -17,6 +17,11 @@
 // that starts then holds its slot several times as long, so it waits for the end of
 // the stall where that is sooner (package pace).
 //
+// Fourth load pattern: lesser work with a target far away bursts on a service that
+// urgent work with a tight target needs. In a queue that is never empty, urgent work
+// that is refused for a stall that may come leaves its slots to the lesser work. Only
+// what cannot meet its target at the calm pace is refused.
+//
 // The package has no clock, socket or log: times are offsets that the caller
 // passes in. A Gate is not safe for concurrent use.
 package gate
--- a/pkg/gate/predict.go
+++ b/pkg/gate/predict.go
@@ -67,14 +67,14 @@
 	return known && float64(s) < shortShare*float64(longest)
 }
 
-// sort puts short work first, then requests that can meet their target before those that cannot, then
-// orders by rank and by the moment of the target.
+// sort puts short work first, then requests that can still meet their target before
+// those that cannot, then orders by rank and by the moment of the target.
 func (g *Gate) sort(now time.Duration) {
 	class := func(r *Request) int {
 		if g.short(r.Class) {
 			return -1
 		}
-		if _, end := g.expect(now, now, r.Class); end > r.Target {
+		if !g.meetsTarget(now, now, r) {
 			return 1
 		}
 		return 0
@@ -91,7 +91,7 @@
 	kept := g.queue[:0]
 	for _, r := range g.queue {
 		start, end := g.expect(now, slices.Min(g.free), r.Class)
-		if reason := g.hopeless(start, end, r); reason != ReasonNone {
+		if reason := g.hopeless(now, start, end, r); reason != ReasonNone {
 			refused = append(refused, Refusal{r, reason, max(minRetry, start-now)})
 			continue
 		}
@@ -102,13 +102,26 @@
 	return refused
 }
 
+// meetsTarget reports whether the request can meet its target if it gets a slot then and
+// no further stall meets it. The mean over stalls would refuse urgent work with a tight
+// target that most likely meets it, and give its slots to lesser work with time to wait.
+func (g *Gate) meetsTarget(now, slot time.Duration, r *Request) bool {
+	work := g.Service(r.Class)
+	rest, _ := g.pace.AfterStall(now, work)
+	if max(slot, now+rest)+g.pace.Calm(work) <= r.Target {
+		return true
+	}
+	_, end := g.expect(now, slot, r.Class)
+	return end <= r.Target
+}
+
 // hopeless tells why a request that is predicted to start and end at the given
 // times should not go on waiting.
-func (g *Gate) hopeless(start, end time.Duration, r *Request) Reason {
+func (g *Gate) hopeless(now, start, end time.Duration, r *Request) Reason {
 	if end > r.Deadline {
 		return ReasonDeadline
 	}
-	if end <= r.Target || g.short(r.Class) {
+	if g.meetsTarget(now, start, r) || g.short(r.Class) {
 		return ReasonNone
 	}
 	if start > r.arrived+r.Length/lateWaitShare {
--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -132,4 +132,12 @@
 	return period - (now-g.since)%period, scale(work, g.calm)
 }
 
+// Calm returns how long work takes if no stall meets it.
+func (g *Gauge) Calm(work time.Duration) time.Duration {
+	if !g.known {
+		return scale(work, usual)
+	}
+	return scale(work, g.calm)
+}
+
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
