--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"os"
+	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
@@ -70,3 +72,20 @@
 		}
 	}
 }
+
+func TestPlotNamesEachScenario(t *testing.T) {
+	rows := []Row{{Scenario: "calm", Rule: "ours", Worth: 0.9}, {Scenario: "burst", Rule: "ours", Worth: 0.8}, {Scenario: "burst", Rule: "other", Worth: 0.7}}
+	file := filepath.Join(t.TempDir(), "worth.svg")
+	if err := Plot(file, rows); err != nil {
+		t.Fatal(err)
+	}
+	drawn, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"calm", "burst", "ours", "other"} {
+		if !strings.Contains(string(drawn), ">"+name+"<") {
+			t.Errorf("%q is not in the plot", name)
+		}
+	}
+}
