Report a run over time from its logs

Change: pkg/logview counts how requests ended by window and service, beside what nodes noted; `mtctl report` prints it and draws it. mtsoak logs each fault with its length (event 1901), so that the report shows it in each window that it touches. Tests: TestTimelineCountsByWindowAndService, golden files and a chart in cmd/mtctl.

--- a/cmd/mtctl/explain.go
+++ b/cmd/mtctl/explain.go
@@ -45,7 +45,13 @@
 	return writeStory(c.Root().Writer, story)
 }
 
-func readLog(r *logview.Reader, name string) error {
+// logReader takes the log of a process.
+type logReader interface {
+	Read(log io.Reader, process string) error
+}
+
+// readLog reads a file, which is named after its process unless its lines name others.
+func readLog(r logReader, name string) error {
 	f, err := os.Open(name)
 	if err != nil {
 		return err
--- a/cmd/mtctl/golden_test.go
+++ b/cmd/mtctl/golden_test.go
@@ -151,6 +151,9 @@
 		{"request in logs as JSON", "explain-log-json", []string{"-o", "json", "explain", "log", "afa3c1b4", "testdata/nodes.log"}, 0},
 		{"request not in logs", "explain-log-unknown", []string{"explain", "log", "afa3", "testdata/nodes.log"}, 1},
 		{"logs missing", "explain-log-missing", []string{"explain", "log", "afa3", "testdata/none.log"}, 1},
+		{"report", "report", []string{"report", "testdata/nodes.log"}, 0},
+		{"report without a file", "report-usage", []string{"report"}, 2},
+		{"report with a bad window", "report-window", []string{"report", "--window", "1ms", "testdata/nodes.log"}, 2},
 		{"version in effect", "watch", []string{"watch", "3"}, 0},
 		{"version not in effect", "watch-missing", []string{"watch", "--timeout", "0s", "4"}, 1},
 		{"argument missing", "usage", []string{"confirm", "p"}, 2},
@@ -166,6 +169,17 @@
 	}
 }
 
+func TestReportDrawsAChart(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "run.svg")
+	if out, code := mtctl(t, "report", "--chart", file, "testdata/nodes.log"); code != 0 {
+		t.Fatal(out)
+	}
+	drawn, err := os.ReadFile(file)
+	if err != nil || !strings.Contains(string(drawn), ">failed<") {
+		t.Errorf("%d bytes, %v", len(drawn), err)
+	}
+}
+
 // Guards against subcommands without an example in their help.
 func TestHelp(t *testing.T) {
 	var all strings.Builder
--- a/cmd/mtctl/main.go
+++ b/cmd/mtctl/main.go
@@ -68,6 +68,7 @@
   mtctl explain request 5f0c3c9e
   mtctl explain upstream katalog-1
   mtctl explain log 5f0c3c9e node-*.json
+  mtctl report out/soak/1/*.log
 
 Exit codes: 0 done, 1 failure, 2 wrong usage, 3 refused intent or confirmation.`
 
@@ -98,6 +99,7 @@
 				{Name: "log", Usage: "show what the logs of all nodes tell about a request", ArgsUsage: "ID [FILE...]", Description: example("mtctl explain log 5f0c3c9e node-*.json"), Action: explainLog},
 				leaf("upstream", "show how an upstream is rated", "NODE", "mtctl explain upstream katalog-1", explainUpstream),
 			}},
+			reportCommand(),
 		},
 	}
 	setUsageErrors(root)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,16 +4,22 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	apexlog "github.com/apex/log"
+
+	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/platform"
 	"github.com/mulberrytray/mulberrytray/platform/standin"
 )
@@ -282,16 +288,25 @@
 	}
 }
 
-// harm injects faults, one or two at a time, until the time is over.
-func (s *soak) harm() error {
+// harm injects faults, one or two at a time, until the time is over, and logs them
+// beside the nodes' logs.
+func (s *soak) harm() (err error) {
+	log, err := os.Create(filepath.Join(s.Dir, "faults.log"))
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, log.Close()) }()
+	events := event.NewLogger(log, event.FormatJSON, apexlog.InfoLevel)
 	r := rand.New(rand.NewPCG(s.Seed, 0))
 	for end := time.Now().Add(s.Faults); time.Now().Before(end); {
 		f := faults[r.IntN(len(faults))]
 		v := s.vms[r.IntN(len(s.vms))]
 		s.report.Faults = append(s.report.Faults, f.name+" "+v.name)
+		began := time.Now()
 		if err := f.inject(s, v, r); err != nil {
 			return fmt.Errorf("%s: %w", f.name, err)
 		}
+		events.Emit(event.FaultInjected, event.Fields{"fault": f.name, "vm": v.name, "lasted_ms": time.Since(began).Milliseconds()})
 		time.Sleep(time.Duration(r.IntN(400)) * time.Millisecond)
 	}
 	return nil
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -69,3 +69,8 @@
 	ReadinessChanged    = Event{1510, log.InfoLevel, "readiness changed"}
 	MemberForgotten     = Event{1511, log.InfoLevel, "silent member forgotten"}
 )
+
+// Events of the tools, 1900 to 1999.
+var (
+	FaultInjected = Event{1901, log.InfoLevel, "fault injected"}
+)
--- a/pkg/logview/logview.go
+++ b/pkg/logview/logview.go
@@ -1,6 +1,7 @@
-// Package logview reads the structured logs of several processes and picks what
-// they tell about one request: its own lines, those of the calls made for it, and
-// what the nodes that it met believed at that time.
+// Package logview reads the structured logs of several processes. A Reader picks what
+// they tell about one request: its own lines, those of the calls made for it, and what
+// the nodes that it met believed at that time. A Timeline counts how requests ended
+// over time, beside the faults and changes that were noted.
 package logview
 
 import (
@@ -94,23 +95,30 @@
 // NewReader returns a reader for the request with the id.
 func NewReader(id string) *Reader { return &Reader{id: id, peers: map[string]string{}} }
 
-// Read takes the log of a process. Lines may have a prefix that ends with the name of
-// their process, as collectors of logs write it; others are of the named process.
+// Read takes the log of a process.
 func (r *Reader) Read(log io.Reader, process string) error {
+	unread, err := scan(log, process, r.add)
+	r.unread += unread
+	return err
+}
+
+// scan calls each for every structured line and returns the number of other lines.
+// Lines may have a prefix that ends with the name of their process, as collectors of
+// logs write it; others are of the named process.
+func scan(log io.Reader, process string, each func(Line)) (unread int, err error) {
 	lines := bufio.NewScanner(log)
 	lines.Buffer(nil, longestLine)
 	for lines.Scan() {
-		l, ok := parse(lines.Text(), process)
-		if !ok {
-			r.unread++
+		if l, ok := parse(lines.Text(), process); ok {
+			each(l)
 			continue
 		}
-		r.add(l)
+		unread++
 	}
 	if err := lines.Err(); err != nil {
-		return fmt.Errorf("log of %s: %w", process, err)
+		return unread, fmt.Errorf("log of %s: %w", process, err)
 	}
-	return nil
+	return unread, nil
 }
 
 func parse(text, process string) (Line, bool) {
