Assume short work for new routes again

Cause: since the directory assumed 0.3 of the target for routes without history. Why is not traced in full; with long work the pace, which is hardly known then, weighs more than way and load. Change: 30 ms as before. What is kept of routes that are gone stays bounded. Test: TestWorkOfRoutesThatAreGoneIsDropped stays; the one of the assumption goes with it.

--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -23,10 +23,9 @@
 	lostPeriods = 6
 	// silentPeriods without a status make a node a worse choice.
 	silentPeriods = 3
-	// firstShare of its target is the work assumed for a route without history, as in
-	// package gate, and firstWork that of a route which is not known.
-	firstShare = 0.3
-	firstWork  = 30 * time.Millisecond
+	// firstWork is the work assumed for a route without history. It is shorter than most
+	// work, so that the way and the load count for more than a pace that is hardly known.
+	firstWork = 30 * time.Millisecond
 	// minReaders read the store in any fleet, so that several may lose it at once.
 	minReaders = 5
 	// membersPerReader is the number of members that one reader stands for.
@@ -48,7 +47,6 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
-	table  *route.Table
 	work   map[string]time.Duration
 	links  links
 }
@@ -67,18 +65,13 @@
 	if w, ok := d.work[class]; ok {
 		return w
 	}
-	if d.table != nil && d.table.Has(class) {
-		return time.Duration(firstShare * float64(d.table.Route(class).Target))
-	}
 	return firstWork
 }
 
-// install takes a new table. The mean work of routes that are gone is dropped if there
-// are many.
+// install drops the mean work of routes that are gone, if there are many.
 func (d *directory) install(t *route.Table) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.table = t
 	if len(d.work) > spareRoutes {
 		maps.DeleteFunc(d.work, func(name string, _ time.Duration) bool { return !t.Has(name) })
 	}
