Take the first pace of a VM as its calm one

Cause: a gauge without history took a pace of 1 as calm. An upstream that has just started is slow for seconds (2 times), so for 0.9 s it counted as stalled: work was held back for an end that did not come, and taken for half as long as it is when the gate judged whether it meets its target. Test: TestSlowStartIsNoStall fails before.

--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -49,7 +49,9 @@
 		return
 	}
 	if !g.known {
-		*g = Gauge{last: p, mean: (usual + p) / 2, calm: min(usual, p), at: now, since: now, known: true}
+		// An upstream that has just started is slow for seconds. That is no stall, which
+		// would end soon; if it is one, the next report is lower.
+		*g = Gauge{last: p, mean: (usual + p) / 2, calm: p, at: now, since: now, known: true}
 		return
 	}
 	elapsed := min(1, float64(now-g.at)/float64(period))
--- a/pkg/pace/pace_test.go
+++ b/pkg/pace/pace_test.go
@@ -94,3 +94,28 @@
 		t.Errorf("an empty gauge plans %v and %v", hold, run)
 	}
 }
+
+// All VMs start together and are slow for seconds: work is not held back for the end of
+// a stall, and its time is not taken for that on a calm VM.
+func TestSlowStartIsNoStall(t *testing.T) {
+	var g Gauge
+	const work = 240 * time.Millisecond
+	for now := time.Duration(0); now < 600*time.Millisecond; now += 50 * time.Millisecond {
+		g.Report(now, 2)
+		if g.Stalled(now) {
+			t.Fatalf("stalled %v after the start", now)
+		}
+		if c := g.Calm(work); c != 2*work {
+			t.Fatalf("calm work takes %v, want %v", c, 2*work)
+		}
+	}
+	// Neighbours stall the slow VM, and later it has become warm.
+	g.Report(600*time.Millisecond, 8)
+	if !g.Stalled(600 * time.Millisecond) {
+		t.Error("a stall of a slow VM is not seen")
+	}
+	g.Report(900*time.Millisecond, 1)
+	if c := g.Calm(work); c != work {
+		t.Errorf("calm work takes %v on a warm VM", c)
+	}
+}
