Let the readers of the store take turns

Ruled out: distribution between nodes, refused configurations. Change: after a change the readers wait 0.6, 1.6, ... s and then keep their turns, so that one read starts anew each second, at the same number of calls as before (five readers, 5 s). Tests: TestChangeIsFoundThoughTheStoreIsDeaf fails before (not in force after 2 s), TestReadersTakeTurns.

--- a/pkg/mesh/config.go
+++ b/pkg/mesh/config.go
@@ -14,8 +14,12 @@
 	// followGap is the least time between two reads of the configuration, so that a
 	// series of changes is read at once.
 	followGap = 400 * time.Millisecond
-	// readWait is how long a read waits for a change. A silent connection to the
-	// store is found after it.
+	// readGap is the time between two reads of the fleet that start anew. The store does
+	// not always end a waiting read when there is a change, and the operators want one in
+	// force within 2 s.
+	readGap = time.Second
+	// readWait is the longest time that a read waits for a change. A silent connection
+	// to the store is found after it.
 	readWait = 5 * time.Second
 	// rolePause is how often a node that does not read looks whether it should.
 	rolePause = 300 * time.Millisecond
@@ -39,8 +43,8 @@
 	install func(*route.Table)
 	// spread is called when the store had a newer configuration, so that all hear of it.
 	spread func()
-	// role reports whether this node is one of the readers of the fleet.
-	role func() bool
+	// role reports whether this node is one of the readers of the fleet, and its turn.
+	role func() (turn, bool)
 
 	mu      sync.Mutex
 	current *route.Table
@@ -84,14 +88,16 @@
 // run follows the store until the context ends. Only the readers do; the others
 // hear from them. A node that hears of no configuration reads for itself.
 func (f *follower) run(ctx context.Context) {
-	known, position := false, int64(0)
+	// changed is set while the other readers have probably just returned as well.
+	known, changed, position := false, true, int64(0)
 	pause, start := firstRetry, time.Now()
 	// The statuses of the others tell first who the readers are.
 	if !sleep(ctx, greetTime) {
 		return
 	}
 	for ctx.Err() == nil {
-		if !f.role() && (f.version() > 0 || time.Since(start) < lonelyAfter) {
+		place, reader := f.role()
+		if !reader && (f.version() > 0 || time.Since(start) < lonelyAfter) {
 			if !sleep(ctx, rolePause) {
 				return
 			}
@@ -99,9 +105,10 @@
 			known = false
 			continue
 		}
-		next, err := f.read(ctx, known, position)
+		next, err := f.read(ctx, known, position, place.wait(changed))
 		switch {
 		case err == nil:
+			changed = !known || next != position
 			known, position = true, next
 			pause = followGap
 		case errors.Is(err, ErrHistoryGone):
@@ -120,15 +127,30 @@
 	}
 }
 
-// read makes one call to the store and returns the next position.
-func (f *follower) read(ctx context.Context, known bool, position int64) (int64, error) {
+// wait returns how long the next read of the node waits for a change.
+//
+// Load pattern: a change ends the reads of all readers at once, and the store leaves
+// those that begin then waiting when the next change comes. So the readers take turns:
+// one read starts anew in each readGap.
+func (t turn) wait(changed bool) time.Duration {
+	most := int(readWait / readGap)
+	n := min(max(1, t.readers), most)
+	if changed {
+		n = 1 + t.place%n
+	}
+	return time.Duration(n)*readGap - followGap
+}
+
+// read makes one call to the store, which waits for a change if the position is known,
+// and returns the next position.
+func (f *follower) read(ctx context.Context, known bool, position int64, wait time.Duration) (int64, error) {
 	var encoded []byte
 	var next int64
 	var err error
 	if known {
-		ctx, cancel := context.WithTimeout(ctx, readWait+storeSlack)
+		ctx, cancel := context.WithTimeout(ctx, wait+storeSlack)
 		defer cancel()
-		encoded, next, err = f.configs.Changes(ctx, position, readWait)
+		encoded, next, err = f.configs.Changes(ctx, position, wait)
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
--- a/pkg/mesh/directory.go
+++ b/pkg/mesh/directory.go
@@ -186,9 +186,13 @@
 	}
 }
 
-// reader reports whether this node reads the store for the others. Readers are the nodes with the least hashes among those that
-// are heard and reach the store, so that all nodes agree without a word.
-func (d *directory) reader() bool {
+// turn is a node's place among the readers of the store.
+type turn struct{ place, readers int }
+
+// reader reports whether this node reads the store for the others, and its turn.
+// Readers are the nodes with the least hashes among those that are heard and reach the
+// store, so that all nodes agree without a word.
+func (d *directory) reader() (turn, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now, own, before, heard := d.now(), xxhash.Sum64String(d.self), 0, 0
@@ -202,5 +206,6 @@
 			before++
 		}
 	})
-	return before < max(minReaders, heard/membersPerReader)
+	readers := max(minReaders, heard/membersPerReader)
+	return turn{before, min(readers, heard+1)}, before < readers
 }
--- a/pkg/mesh/helper_test.go
+++ b/pkg/mesh/helper_test.go
@@ -31,6 +31,8 @@
 	changed   chan struct{}
 	addresses []string
 	reads     int
+	// deaf lets reads that wait end only when their time is over.
+	deaf bool
 }
 
 func newMemoryStore() *memoryStore { return &memoryStore{changed: make(chan struct{})} }
@@ -96,6 +98,9 @@
 	s.mu.Lock()
 	s.reads++
 	changed := s.changed
+	if s.deaf {
+		changed = nil
+	}
 	behind := position < s.position
 	s.mu.Unlock()
 	if !behind {
--- a/pkg/mesh/silent.go
+++ b/pkg/mesh/silent.go
@@ -69,7 +69,7 @@
 			return
 		case address = <-n.gossip.forgotten:
 		}
-		if !n.dir.reader() {
+		if _, reader := n.dir.reader(); !reader {
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
