Move a request's state out of the ingress file

Change: trip, how it begins and what it yields in the end are in trip.go; code is moved, not changed.

--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -110,24 +110,6 @@
 // Active returns the number of requests in hand.
 func (in *Ingress) Active() int64 { return in.active.Load() }
 
-// trip is a request of a caller on its way.
-type trip struct {
-	call     Call
-	route    *route.Route
-	version  uint64
-	started  time.Time
-	deadline time.Time
-	sends    int
-	offers   int
-	exclude  []string
-	detail   []string
-	// mayHaveRun is set after a send with unknown outcome.
-	mayHaveRun bool
-	// answer is the error that an upstream answered with before the request was sent
-	// once more, or nil.
-	answer *Result
-}
-
 // ServeHTTP implements http.Handler.
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	in.active.Add(1)
@@ -164,28 +146,6 @@
 	in.finish(w, r, t, result)
 }
 
-// newTrip returns the request without its body. It sets the time that the request
-// has: the least of what the caller states and the route allows.
-func (in *Ingress) newTrip(r *http.Request, table *route.Table, rt *route.Route) *trip {
-	now := time.Now()
-	timeout, spent := defaultTimeout, time.Duration(0)
-	if n, err := strconv.ParseInt(r.Header.Get(in.Names.TimeoutMillis), 10, 64); err == nil && n > 0 {
-		timeout = ms(n)
-		spent = in.spent(rt.Name, timeout)
-	}
-	if rt.Timeout > 0 {
-		timeout = min(timeout, rt.Timeout)
-	}
-	h := endToEnd(r.Header)
-	t := &trip{route: rt, version: table.Version, started: now, deadline: now.Add(timeout)}
-	t.call = Call{
-		ID: r.Header.Get(in.Names.RequestID), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h,
-		Service: in.splitter.Pick(rt), Caller: in.Service, Class: rt.Name, Rank: rt.Rank,
-		Target: rt.Target, TargetLeft: rt.Target - spent, Timeout: timeout, Idempotent: rt.Idempotent,
-	}
-	return t
-}
-
 // readRequest reads the beginning of the body, until the request's time is over.
 func (in *Ingress) readRequest(w http.ResponseWriter, r *http.Request, t *trip, limit int64) error {
 	if r.Body == http.NoBody {
@@ -214,19 +174,6 @@
 	}
 }
 
-// spent estimates how long ago the caller first sent this request.
-func (in *Ingress) spent(name string, stated time.Duration) time.Duration {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	p := in.patience[name]
-	if p == nil {
-		p = &patience{}
-		in.patience[name] = p
-	}
-	p.observe(stated)
-	return p.spent(stated)
-}
-
 func (in *Ingress) budget(service string) *retry.Budget {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -280,21 +227,6 @@
 	return t.sends < max(1, t.route.MaxAttempts) && budget.Retry()
 }
 
-// giveUp returns the result that the caller gets: an upstream's own answer if there is
-// one, and never "not run" if an earlier send may have run.
-func (t *trip) giveUp(last *Result) *Result {
-	if t.answer != nil && (last == nil || last.Kind != Answered) {
-		return t.answer
-	}
-	if last == nil {
-		return refused("no-upstream", noUpstreamRetry)
-	}
-	if t.mayHaveRun && (last.Kind == Refused || last.Kind == Declined) {
-		return failed("earlier-send-unknown", false)
-	}
-	return last
-}
-
 // send makes one offer. A nil result means that no upstream is left.
 func (in *Ingress) send(ctx context.Context, t *trip) *Result {
 	choice, ok := in.Dir.Choose(t.call.Service, t.call.Class, t.exclude)
