--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,7 +17,10 @@
 //
 // Seed 309 failed once: the number of a new route was visible to the check before the
 // time at which it was added.
-var seeds = []uint64{1, 130, 309}
+//
+// Seeds 955 and 979 failed once, at a load of 48 on 6 cores: after the faults the nodes
+// wrote no line for up to 12 s and served nothing. Both pass without other load.
+var seeds = []uint64{1, 130, 309, 955, 979}
 
 func TestSoak(t *testing.T) {
 	dir := t.TempDir()
