Log who closed a caller's connection before the answer

Callers saw requests on kept connections without an answer. The logs could not tell whether the caller, the limit of idle connections or a planned stop had closed the connection, whether a handler had panicked (only on standard error, without the id), or whether the process had not been running.

Event 1406 names who closed the connection, the number of the request on it and the sends; 1006 now also covers the ingress of the mesh node; 1007 tells how long the process was not running. No decision changes. pkg/mesh, pkg/relay and pkg/event pass with -race.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -4,12 +4,13 @@
 
 // Events of the node's life cycle, 1000 to 1099.
 var (
-	NodeStarting = Event{1001, log.InfoLevel, "node starting"}
-	NodeServing  = Event{1002, log.InfoLevel, "node serving"}
-	NodeDraining = Event{1003, log.InfoLevel, "node draining"}
-	NodeStopped  = Event{1004, log.InfoLevel, "node stopped"}
-	NodeFailed   = Event{1005, log.ErrorLevel, "node failed"}
-	HandlerPanic = Event{1006, log.ErrorLevel, "request handler panicked"}
+	NodeStarting   = Event{1001, log.InfoLevel, "node starting"}
+	NodeServing    = Event{1002, log.InfoLevel, "node serving"}
+	NodeDraining   = Event{1003, log.InfoLevel, "node draining"}
+	NodeStopped    = Event{1004, log.InfoLevel, "node stopped"}
+	NodeFailed     = Event{1005, log.ErrorLevel, "node failed"}
+	HandlerPanic   = Event{1006, log.ErrorLevel, "request handler panicked"}
+	ProcessStalled = Event{1007, log.WarnLevel, "process was not running for a while"}
 )
 
 // Events of the configuration, 1100 to 1199.
@@ -53,6 +54,7 @@
 	RequestRejected    = Event{1403, log.WarnLevel, "request rejected"}
 	AnswerNotDelivered = Event{1404, log.WarnLevel, "answer not delivered"}
 	LinesDropped       = Event{1405, log.WarnLevel, "log lines dropped"}
+	CallerDisconnected = Event{1406, log.WarnLevel, "connection closed before the answer"}
 )
 
 // Events of the announcements and of the mesh, 1500 to 1599.
--- a/pkg/mesh/connections.go
+++ b/pkg/mesh/connections.go
@@ -1,11 +1,13 @@
 package mesh
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/mulberrytray/mulberrytray/pkg/relay"
 	"github.com/mulberrytray/mulberrytray/pkg/route"
 )
 
@@ -16,24 +18,31 @@
 	defaultHeaderTimeout = 10 * time.Second
 )
 
-// idleConnections closes callers' connections that have no request for longer than the
-// configuration in force allows. http.Server supports only fixed limits. It is safe for
-// concurrent use.
-type idleConnections struct {
+// callerConnections tracks the callers' connections. It closes those that have no request
+// for longer than the configuration in force allows, since http.Server supports only fixed
+// limits. It is safe for concurrent use.
+type callerConnections struct {
 	table func() *route.Table
 
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
+	mu    sync.Mutex
+	conns map[net.Conn]*callerConnection
 }
 
-func newIdleConnections(table func() *route.Table) *idleConnections {
-	return &idleConnections{table: table, timers: map[net.Conn]*time.Timer{}}
+// callerConnection is one open connection.
+type callerConnection struct {
+	log relay.Connection
+	// idleTimer closes the connection; nil while it has a request.
+	idleTimer *time.Timer
+}
+
+func newCallerConnections(table func() *route.Table) *callerConnections {
+	return &callerConnections{table: table, conns: map[net.Conn]*callerConnection{}}
 }
 
 // limit returns how long a connection may stay without a complete request header: the
 // idle timeout plus the header timeout, because the arrival of a header's first byte is
 // not reported.
-func (c *idleConnections) limit() time.Duration {
+func (c *callerConnections) limit() time.Duration {
 	idle, header := defaultIdleTimeout, defaultHeaderTimeout
 	if t := c.table(); t != nil {
 		if t.Limits.IdleTimeout > 0 {
@@ -46,23 +55,56 @@
 	return idle + header
 }
 
+// find returns the state of a connection, which it adds if necessary. The lock must be held.
+func (c *callerConnections) find(conn net.Conn) *callerConnection {
+	cc := c.conns[conn]
+	if cc == nil {
+		cc = &callerConnection{}
+		c.conns[conn] = cc
+	}
+	return cc
+}
+
+// connContext is the ConnContext hook of an http.Server.
+func (c *callerConnections) connContext(ctx context.Context, conn net.Conn) context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return relay.WithConnection(ctx, &c.find(conn).log)
+}
+
 // trackState is the ConnState hook of an http.Server.
-func (c *idleConnections) trackState(conn net.Conn, state http.ConnState) {
+func (c *callerConnections) trackState(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t := c.timers[conn]; t != nil {
-		t.Stop()
-		delete(c.timers, conn)
+	cc := c.find(conn)
+	if cc.idleTimer != nil {
+		cc.idleTimer.Stop()
+		cc.idleTimer = nil
 	}
-	if state == http.StateNew || state == http.StateIdle {
-		// Closing wakes the server, which then reports the connection as closed.
-		c.timers[conn] = time.AfterFunc(c.limit(), func() { _ = conn.Close() })
+	switch state {
+	case http.StateNew, http.StateIdle:
+		cc.idleTimer = time.AfterFunc(c.limit(), func() {
+			cc.log.MarkClosed(relay.ClosedIdle)
+			// Closing wakes the server, which then reports the connection as closed.
+			_ = conn.Close()
+		})
+	case http.StateClosed, http.StateHijacked:
+		delete(c.conns, conn)
+	}
+}
+
+// markAllClosed records why this node is about to close all connections.
+func (c *callerConnections) markAllClosed(reason relay.CloseReason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cc := range c.conns {
+		cc.log.MarkClosed(reason)
 	}
 }
 
-// count returns the number of connections without a request.
-func (c *idleConnections) count() int {
+// count returns the number of open connections.
+func (c *callerConnections) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.timers)
+	return len(c.conns)
 }
--- a/pkg/mesh/connections_test.go
+++ b/pkg/mesh/connections_test.go
@@ -14,15 +14,15 @@
 )
 
 // serveWithLimits starts a server with the limits and returns its address.
-func serveWithLimits(t *testing.T, idle, header time.Duration) (*idleConnections, string) {
+func serveWithLimits(t *testing.T, idle, header time.Duration) (*callerConnections, string) {
 	t.Helper()
 	table, err := route.NewTable(1, route.Limits{IdleTimeout: idle, HeaderTimeout: header}, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newIdleConnections(func() *route.Table { return table })
+	c := newCallerConnections(func() *route.Table { return table })
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	server.Config.ConnState = c.trackState
+	server.Config.ConnState, server.Config.ConnContext = c.trackState, c.connContext
 	server.Start()
 	t.Cleanup(server.Close)
 	return c, server.Listener.Addr().String()
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -68,6 +68,8 @@
 	watcher *configWatcher
 	fetcher *fetcher
 	configs *configServer
+	// connections are those of the callers.
+	connections *callerConnections
 
 	// servers and listeners have the same order. The first server is that for callers.
 	servers   []*http.Server
@@ -142,7 +144,8 @@
 
 func (n *Node) listen() error {
 	s := n.settings
-	callers := &http.Server{Handler: n.ingress, ConnState: newIdleConnections(n.ingress.Table).trackState}
+	n.connections = newCallerConnections(n.ingress.Table)
+	callers := &http.Server{Handler: n.ingress, ConnState: n.connections.trackState, ConnContext: n.connections.connContext}
 	list := []struct {
 		name, address string
 		server        *http.Server
@@ -393,6 +396,7 @@
 		}
 		time.Sleep(stopPollInterval)
 	}
+	n.connections.markAllClosed(relay.ClosedByStop)
 	for _, s := range n.servers {
 		if err := s.Close(); err != nil {
 			n.deps.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error(), "during": "stop"})
--- /dev/null
+++ b/pkg/relay/connection.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"context"
+	"sync/atomic"
+)
+
+// CloseReason is why a caller's connection was closed.
+type CloseReason string
+
+// Reasons for closed connections.
+const (
+	// ClosedByCaller is for connections that this node did not close.
+	ClosedByCaller CloseReason = "caller"
+	// ClosedIdle is for connections that were idle for too long.
+	ClosedIdle CloseReason = "idle-limit"
+	// ClosedByStop is for connections that were still open at the end of a planned stop.
+	ClosedByStop CloseReason = "stop"
+)
+
+// Connection is a caller's connection, for logs. It is safe for concurrent use.
+type Connection struct {
+	requests atomic.Int64
+	closed   atomic.Pointer[CloseReason]
+}
+
+// MarkClosed records that this node closes the connection.
+func (c *Connection) MarkClosed(reason CloseReason) { c.closed.CompareAndSwap(nil, &reason) }
+
+// closeReason returns why the connection was closed.
+func (c *Connection) closeReason() CloseReason {
+	if r := c.closed.Load(); r != nil {
+		return *r
+	}
+	return ClosedByCaller
+}
+
+type connectionKey struct{}
+
+// WithConnection returns the context for the requests of a connection.
+func WithConnection(ctx context.Context, c *Connection) context.Context {
+	return context.WithValue(ctx, connectionKey{}, c)
+}
+
+// connectionOf returns the connection of a request's context.
+func connectionOf(ctx context.Context) *Connection {
+	if c, ok := ctx.Value(connectionKey{}).(*Connection); ok {
+		return c
+	}
+	return &Connection{}
+}
--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -115,6 +117,8 @@
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	in.active.Add(1)
 	defer in.active.Add(-1)
+	connectionOf(r.Context()).requests.Add(1)
+	defer in.logPanic(r)
 	if in.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -324,6 +328,30 @@
 		"took_ms": took.Milliseconds(), "waited_ms": result.Waited.Milliseconds(),
 		"budget_ms": rs.deadline.Sub(rs.started).Milliseconds(), "caller_left": r.Context().Err() != nil,
 	})
+	if r.Context().Err() == nil {
+		return
+	}
+	connection := connectionOf(r.Context())
+	metrics.GetOrRegisterCounter("connection.closed."+string(connection.closeReason()), in.Metrics).Inc(1)
+	in.Events.Emit(event.CallerDisconnected, event.Fields{
+		"id": rs.call.ID, "closed_by": string(connection.closeReason()), "request_on_connection": connection.requests.Load(),
+		"sends": rs.attempts, "took_ms": took.Milliseconds(),
+	})
+}
+
+// logPanic logs a panic of the request's handler, which closes the connection.
+func (in *Ingress) logPanic(r *http.Request) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	id := r.Header.Get(in.Names.RequestID)
+	if p == http.ErrAbortHandler {
+		in.Events.Emit(event.AnswerNotDelivered, event.Fields{"id": id, "error": "response body broken off"})
+	} else {
+		in.Events.Emit(event.HandlerPanic, event.Fields{"id": id, "panic": fmt.Sprint(p), "stack": string(debug.Stack())})
+	}
+	panic(p)
 }
 
 // reject responds to a request that was not sent to any node.
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/exchange"
 	"github.com/mulberrytray/mulberrytray/pkg/gate"
 	"github.com/mulberrytray/mulberrytray/pkg/quarantine"
@@ -220,15 +221,22 @@
 	}
 }
 
-// RunTicker calls Tick periodically until the context ends.
+// RunTicker calls Tick periodically until the context ends. It logs when the process was
+// not running for stallThreshold.
 func (s *Sidecar) RunTicker(ctx context.Context) {
 	t := time.NewTicker(advanceInterval)
 	defer t.Stop()
+	last := s.now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			now := s.now()
+			if gap := now - last; gap > stallThreshold {
+				s.events.Emit(event.ProcessStalled, event.Fields{"gap_ms": gap.Milliseconds()})
+			}
+			last = now
 			s.Tick()
 		}
 	}
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -20,6 +20,9 @@
 	// advanceInterval is how often the gate checks whether the deadline or the deferral of
 	// a waiting request has ended.
 	advanceInterval = 10 * time.Millisecond
+	// stallThreshold is the time without a tick after which a stall of the process is
+	// logged.
+	stallThreshold = 60 * time.Millisecond
 	// minLoadChange is the change of the number of requests above which the load is
 	// reported to other nodes.
 	minLoadChange = 1
