Answer requests that are read while a mesh node stops

At the end of a planned stop, callers that kept coming got EOF on a connection that the node had accepted, or a reset on one that was still in the accept queue.

Two causes, both in the use of http.Server.Shutdown: - The server reads a request and then closes the connection without an answer, without calling the handler, once Shutdown has begun. The listener waits for its queue to be empty, Serve waits for the lock, and after 100 ms the listener closes with callers in the queue.

The node now closes the listener first, without the lock. It then ends the idle connections by their read deadline, which cannot cut a request that was read, answers what still arrives on new connections for at most 15 checks, and closes the servers once no connection is left. Requests that could outlast the stop are rejected in that time, too.

--- a/pkg/mesh/connections.go
+++ b/pkg/mesh/connections.go
@@ -16,13 +16,19 @@
 	// configuration sets the limits. They are longer than in any configuration seen.
 	defaultIdleTimeout   = 3 * time.Minute
 	defaultHeaderTimeout = 10 * time.Second
+	// firstRequestChecks is for how many checks, stopPollInterval apart, a stopping node
+	// waits for the first request on a connection that it has accepted. The time does not
+	// count in which the process does not run.
+	firstRequestChecks = 15
 )
 
 // callerConnections tracks the callers' connections. It closes those that have no request
 // for longer than the configuration in force allows, since http.Server supports only fixed
-// limits. It is safe for concurrent use.
+// limits. When the node stops, it closes all of them. It is safe for concurrent use.
 type callerConnections struct {
 	table func() *route.Table
+	// firstRequestChecks applies to drain.
+	firstRequestChecks int
 
 	mu    sync.Mutex
 	conns map[net.Conn]*callerConnection
@@ -31,6 +37,10 @@
 // callerConnection is one open connection.
 type callerConnection struct {
 	log relay.Connection
+	// used is set once a request was read.
+	used bool
+	// checks is the number of checks without a first request while the node stops.
+	checks int
 	// idleTimer ends the connection; nil while it has a request.
 	idleTimer *time.Timer
 	// expired is set while the read deadline has passed because of the idle limit.
@@ -38,7 +48,7 @@
 }
 
 func newCallerConnections(table func() *route.Table) *callerConnections {
-	return &callerConnections{table: table, conns: map[net.Conn]*callerConnection{}}
+	return &callerConnections{table: table, firstRequestChecks: firstRequestChecks, conns: map[net.Conn]*callerConnection{}}
 }
 
 // limit returns how long a connection may stay without a complete request header: the
@@ -87,6 +97,7 @@
 	case http.StateNew, http.StateIdle:
 		c.startIdleTimer(conn, cc)
 	case http.StateActive:
+		cc.used = true
 		if cc.expired {
 			cc.expired = false
 			// An error means that the connection is closed, which the server notices.
@@ -110,6 +121,37 @@
 	cc.idleTimer = timer
 }
 
+// drain closes the connections without a request and waits until the others are closed
+// after their response. http.Server.Shutdown would drop the requests that are read while
+// it runs. The listener must be closed.
+func (c *callerConnections) drain(ctx context.Context) error {
+	t := time.NewTicker(stopPollInterval)
+	defer t.Stop()
+	for c.expireUnused() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+	return nil
+}
+
+// expireUnused ends the connections without a request, new ones after firstRequestChecks,
+// and returns the number of open connections.
+func (c *callerConnections) expireUnused() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, cc := range c.conns {
+		cc.checks++
+		if cc.idleTimer != nil && (cc.used || cc.checks > c.firstRequestChecks) {
+			cc.idleTimer.Stop()
+			c.expire(conn, cc)
+		}
+	}
+	return len(c.conns)
+}
+
 // expire ends an idle connection. It ends only the server's wait for more bytes: if the
 // server has already read a request, it still serves it. Closing the connection would lose
 // the response. The lock must be held.
--- a/pkg/mesh/connections_test.go
+++ b/pkg/mesh/connections_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -157,3 +158,27 @@
 		t.Errorf("%d requests handled, second response: %v", handled.Load(), err)
 	}
 }
+
+// Guards against a stop that drops a request because the server reads it after the stop has
+// begun to close connections.
+func TestStopAnswersRequestsOnAcceptedConnections(t *testing.T) {
+	a := startNode(t, newSettings(t, "a", 0), &storeClient{memoryStore: newMemoryStore()})
+	a.connections.firstRequestChecks = math.MaxInt
+	conn, err := net.Dial("tcp", a.settings.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	await.Eventually(t, "the connection is accepted", func() bool { return a.connections.count() == 1 })
+	go a.closeServers(time.Now().Add(time.Minute))
+	await.Eventually(t, "the listener is closed", func() bool {
+		c, err := net.Dial("tcp", a.settings.CallerAddress)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	})
+	if err := request(t, conn); err != nil {
+		t.Errorf("request on a connection accepted before the stop: %v", err)
+	}
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -181,7 +181,7 @@
 	defer cancel()
 	for i, server := range n.servers {
 		n.spawn(func() {
-			if err := server.Serve(n.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(n.listeners[i]); !errors.Is(err, http.ErrServerClosed) && !n.stopping.Load() {
 				n.deps.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error()})
 			}
 		})
@@ -372,29 +372,25 @@
 		}
 		idle := n.ingress.Active() == 0 && n.sidecar.Running() == 0
 		if time.Since(start) > unreadyDuration {
+			// Callers that still send requests may have no other node.
+			n.ingress.StopAt(deadline)
 			if idle {
 				break
 			}
-			// Callers that still send requests may have no other node.
-			n.ingress.StopAt(deadline)
 		}
 		time.Sleep(stopPollInterval)
 	}
 	n.closeServers(deadline.Add(closeReserve / 2))
 }
 
-// closeServers waits for the callers' requests until the deadline and then closes all
-// connections.
+// closeServers closes the listener for callers, waits until the deadline for the requests
+// on the connections that it has accepted, and then closes all connections.
 func (n *Node) closeServers(deadline time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	// The first Shutdown may miss a connection that is accepted while the listener closes.
-	// The second one waits for it.
-	for range 2 {
-		if err := n.servers[0].Shutdown(ctx); err != nil {
-			n.deps.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error(), "during": "stop", "active": n.ingress.Active()})
-		}
-		time.Sleep(stopPollInterval)
+	_ = n.listeners[0].Close()
+	if err := n.connections.drain(ctx); err != nil {
+		n.deps.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error(), "during": "stop", "active": n.ingress.Active()})
 	}
 	n.connections.markAllClosed(relay.ClosedByStop)
 	for _, s := range n.servers {
