Answer requests at the end of a stop after a stall

Callers of a stopping mesh node got EOF, all at the same time, if the process had not run for seconds: at its next step the deadline of the stop had passed, and it closed all connections at once, including new ones whose request it had just read. Closing them early saves nothing: the platform ends a process that overstays.

After the deadline the node now still makes the 15 checks that it makes for new connections otherwise, 20 ms apart, before it closes connections that have a request.

--- a/pkg/mesh/connections.go
+++ b/pkg/mesh/connections.go
@@ -123,16 +123,16 @@
 
 // drain closes the connections without a request and waits until the others are closed
 // after their response. http.Server.Shutdown would drop the requests that are read while
-// it runs. The listener must be closed.
+// it runs. The listener must be closed. If the context ends early, drain still makes
+// firstRequestChecks checks: a stall of the process may have used up the time.
 func (c *callerConnections) drain(ctx context.Context) error {
 	t := time.NewTicker(stopPollInterval)
 	defer t.Stop()
-	for c.expireUnused() > 0 {
-		select {
-		case <-ctx.Done():
+	for checks := 0; c.expireUnused() > 0; checks++ {
+		if ctx.Err() != nil && checks >= c.firstRequestChecks {
 			return ctx.Err()
-		case <-t.C:
 		}
+		<-t.C
 	}
 	return nil
 }
--- a/pkg/mesh/connections_test.go
+++ b/pkg/mesh/connections_test.go
@@ -162,6 +162,18 @@
 // Guards against a stop that drops a request because the server reads it after the stop has
 // begun to close connections.
 func TestStopAnswersRequestsOnAcceptedConnections(t *testing.T) {
+	requestDuringStop(t, time.Now().Add(time.Minute))
+}
+
+// Guards against a stop that closes connections with requests at once because the process
+// stood still until the deadline.
+func TestStopAnswersRequestsAfterStall(t *testing.T) {
+	requestDuringStop(t, time.Now())
+}
+
+// requestDuringStop sends a request on an accepted connection once the listener is closed.
+func requestDuringStop(t *testing.T, deadline time.Time) {
+	t.Helper()
 	a := startNode(t, newSettings(t, "a", 0), &storeClient{memoryStore: newMemoryStore()})
 	a.connections.firstRequestChecks = math.MaxInt
 	conn, err := net.Dial("tcp", a.settings.CallerAddress)
@@ -170,7 +182,7 @@
 	}
 	defer conn.Close()
 	await.Eventually(t, "the connection is accepted", func() bool { return a.connections.count() == 1 })
-	go a.closeServers(time.Now().Add(time.Minute))
+	go a.closeServers(deadline)
 	await.Eventually(t, "the listener is closed", func() bool {
 		c, err := net.Dial("tcp", a.settings.CallerAddress)
 		if err == nil {
