Accept the whole queue of a closing listener

A closing listener asked for one more connection with a deadline of 2 ms. Accept fails without a look at the queue if the deadline has passed already: because the goroutine runs late, or because Close, which sets a deadline to wake it, does so after Accept has set its own. The listener then closed, and the kernel reset the connections in the queue.

The listener now accepts without blocking until the queue is empty. Deadlines no longer matter for it.

--- a/pkg/drain/listener.go
+++ b/pkg/drain/listener.go
@@ -2,18 +2,17 @@
 package drain
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
-const (
-	// lastAcceptTimeout is how long a closing listener waits for one more connection.
-	lastAcceptTimeout = 2 * time.Millisecond
-	// closeTimeout bounds Close if no goroutine calls Accept.
-	closeTimeout = 100 * time.Millisecond
-)
+// closeTimeout bounds Close if no goroutine calls Accept.
+const closeTimeout = 100 * time.Millisecond
 
 // Listener accepts the connections in the kernel's accept queue before it closes.
 // When a socket is closed, the kernel resets the connections in its queue, and
@@ -40,16 +39,43 @@
 			return c, err
 		}
 	}
-	_ = l.SetDeadline(time.Now().Add(lastAcceptTimeout))
-	c, err := l.TCPListener.Accept()
+	c, err := l.acceptQueued()
 	if err != nil {
 		l.closeSocket()
-		// http.Server would retry after a timeout error.
 		return nil, net.ErrClosed
 	}
 	return c, nil
 }
 
+// acceptQueued returns the next connection of the accept queue, or an error if the queue
+// is empty. Accept with a deadline would not do: it fails without a look at the queue if
+// the goroutine runs after the deadline.
+func (l *Listener) acceptQueued() (net.Conn, error) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var fd int
+	var acceptErr error
+	if err := raw.Control(func(listener uintptr) {
+		for {
+			fd, _, acceptErr = syscall.Accept4(int(listener), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			// The caller may have aborted a connection in the queue.
+			if !errors.Is(acceptErr, syscall.EINTR) && !errors.Is(acceptErr, syscall.ECONNABORTED) {
+				return
+			}
+		}
+	}); err != nil {
+		return nil, err
+	}
+	if acceptErr != nil {
+		return nil, os.NewSyscallError("accept4", acceptErr)
+	}
+	f := os.NewFile(uintptr(fd), "")
+	defer f.Close()
+	return net.FileConn(f)
+}
+
 func (l *Listener) closeSocket() {
 	l.once.Do(func() {
 		_ = l.TCPListener.Close()
--- a/pkg/drain/listener_test.go
+++ b/pkg/drain/listener_test.go
@@ -44,3 +44,60 @@
 		}
 	}
 }
+
+// Guards against a closing listener that takes an expired deadline for an empty queue and
+// resets the connections in it, as when the accepting goroutine runs late.
+func TestCloseServesQueuedConnectionsAfterDeadline(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := NewListener(tcp.(*net.TCPListener))
+	const queued = 100
+	for range queued {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_ = l.Close()
+	}()
+	for !l.closing.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	stopExpiring := make(chan struct{})
+	expiring := make(chan struct{})
+	go func() {
+		defer close(expiring)
+		for {
+			select {
+			case <-stopExpiring:
+				return
+			default:
+				_ = l.SetDeadline(time.Unix(1, 0))
+			}
+		}
+	}()
+	accepted := 0
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				t.Errorf("Accept returned %v, want net.ErrClosed", err)
+			}
+			break
+		}
+		defer c.Close()
+		accepted++
+	}
+	close(stopExpiring)
+	<-expiring
+	<-closed
+	if accepted != queued {
+		t.Errorf("%d of %d queued connections accepted", accepted, queued)
+	}
+}
