Serve first requests on accepted connections of a stopping node

Around the planned stop of a node, callers got EOF on a new connection. http.Server closes a connection without an answer if it reads the request after Shutdown has begun; the node called Shutdown as soon as its listener had accepted the last connections, whose requests were still to be read.

A stopping server now closes its listener, waits until the first request on each accepted connection has completed, and calls Shutdown then.

--- a/pkg/node/listen.go
+++ b/pkg/node/listen.go
@@ -39,13 +39,18 @@
 // server is an HTTP server and its listener.
 type server struct {
 	*http.Server
-	listener *drain.Listener
+	listener      *drain.Listener
+	firstRequests *firstRequests
 }
 
 // stop accepts the connections in the listener's queue and waits for the requests in
 // flight. The listener closes first, because Shutdown holds a lock that Accept needs.
+// Shutdown drops requests that are read while it runs, so the new connections' first
+// requests are served before.
 func (s *server) stop(ctx context.Context) error {
-	return errors.Join(s.listener.Close(), s.Shutdown(ctx))
+	err := s.listener.Close()
+	s.firstRequests.wait(ctx)
+	return errors.Join(err, s.Shutdown(ctx))
 }
 
 func (n *Node) listenAll(peer, local, admin, caller http.Handler) error {
@@ -75,8 +80,9 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
+	first := newFirstRequests()
 	srv := &http.Server{
-		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, Protocols: protocols,
+		Handler: h, ConnState: first.trackState, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, Protocols: protocols,
 	}
 	draining := drain.NewListener(l.(*net.TCPListener))
 	limited := netutil.LimitListener(draining, maxConnections)
@@ -85,7 +91,7 @@
 			n.events.Emit(event.NodeFailed, event.Fields{"error": err.Error()})
 		}
 	})
-	return &server{Server: srv, listener: draining}, nil
+	return &server{Server: srv, listener: draining, firstRequests: first}, nil
 }
 
 // closeConnectionsOnDrain asks clients to close their connections once the node is
