Stop only after the request runs in TestGracefulStop

The test failed when the stop began before its request was sent to the upstream: it got 503 "the upstream is draining", not-run. It took a request with a slot for one in flight. The sidecar checks once more, right before it sends a request, that the upstream is not draining, and rejects it otherwise; that is intended, since the caller may send it elsewhere. The message can come only from that check, as the slot was taken before.

The test now also waits until the upstream runs the request, and checks the same response and the same bounds.

--- a/pkg/node/helper_test.go
+++ b/pkg/node/helper_test.go
@@ -131,7 +131,7 @@
 
 // startUpstream starts an upstream that announces itself to the node, and waits until the
 // node can route to it.
-func (n *testNode) startUpstream(t *testing.T, service string) {
+func (n *testNode) startUpstream(t *testing.T, service string) *upstream.Server {
 	t.Helper()
 	var u *upstream.Server
 	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { u.ServeHTTP(w, r) }))
@@ -150,6 +150,7 @@
 		<-ended
 	})
 	waitFor(t, "the upstream is a candidate", func() bool { return len(n.Candidates(service)) > 0 })
+	return u
 }
 
 // deployedIntent returns the intent file from the deploy folder with the replacements
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -61,11 +61,12 @@
 func TestGracefulStop(t *testing.T) {
 	_, logURL := newLog(t)
 	n := startNode(t, "katalog-1", logURL)
-	n.startUpstream(t, "katalog")
+	u := n.startUpstream(t, "katalog")
 	n.configure(t, deployedIntent(t))
 	result := make(chan response, 1)
 	go func() { result <- n.call(upstream.HeaderStream, "5/100") }()
-	waitFor(t, "in flight", func() bool { return n.Status().Load.InFlight == 1 })
+	// A request that has a slot but was not sent yet is rejected by a drain.
+	waitFor(t, "running at the upstream", func() bool { return len(u.Journal().Executions) == 1 && n.Status().Load.InFlight == 1 })
 	n.stop(t)
 	if resp := <-result; resp.err != nil || resp.status != http.StatusOK || strings.Count(resp.body, "chunk") != 5 {
 		t.Errorf("request in flight: %+v", resp)
