Reject heartbeats with more slots than an upstream can have

A heartbeat may come from another writer. The number of slots had no upper bound, and the gate keeps the time at which each usable slot becomes free. With 1e18 slots, the first request that was deferred in a stall made the node allocate until it ended: under a memory limit of 3 GB, a test of the gate with these slots ended with "fatal error: out of memory". Other nodes were also told of 8e17 free slots and preferred this upstream.

announce.Announcement.Validate bounds the slots by MaxSlots, the same limit as for announcements in the format of mtnode.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -3,7 +3,17 @@
 // upstream, so only the newest announcement of the latest start counts.
 package announce
 
-import "time"
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// MaxSlots is the largest number of concurrent requests of one upstream.
+const MaxSlots = 10_000
+
+// ErrInvalid marks an announcement that no upstream sends.
+var ErrInvalid = errors.New("invalid announcement")
 
 // State is the state that an upstream reports.
 type State int
@@ -35,6 +45,14 @@
 	WarmUpRemaining time.Duration
 }
 
+// Validate checks the ranges of the values. Errors wrap ErrInvalid.
+func (a Announcement) Validate() error {
+	if a.Slots < 1 || a.Slots > MaxSlots {
+		return fmt.Errorf("%w: %d slots are not in the range 1 to %d", ErrInvalid, a.Slots, MaxSlots)
+	}
+	return nil
+}
+
 // Verdict is the effect of an announcement on a Tracker.
 type Verdict int
 
