Reject start times that lie in the future

A heartbeat or deregistration of another writer could have any start time.

Start times that are negative, or more than 24 hours ahead of the node's clock, get 400 and have no effect. The margin covers clocks that are set back.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -9,8 +9,13 @@
 	"time"
 )
 
-// MaxSlots is the largest number of concurrent requests of one upstream.
-const MaxSlots = 10_000
+const (
+	// MaxSlots is the largest number of concurrent requests of one upstream.
+	MaxSlots = 10_000
+	// maxClockLead is how far a start time may be ahead of the receiver's clock, which may
+	// have been set back since the start.
+	maxClockLead = 24 * time.Hour
+)
 
 // ErrInvalid marks an announcement that no upstream sends.
 var ErrInvalid = errors.New("invalid announcement")
@@ -45,11 +50,22 @@
 	WarmUpRemaining time.Duration
 }
 
-// Validate checks the ranges of the values. Errors wrap ErrInvalid.
-func (a Announcement) Validate() error {
+// Validate checks the ranges of the values. now is the time at which the announcement
+// arrived. Errors wrap ErrInvalid.
+func (a Announcement) Validate(now time.Time) error {
 	if a.Slots < 1 || a.Slots > MaxSlots {
 		return fmt.Errorf("%w: %d slots are not in the range 1 to %d", ErrInvalid, a.Slots, MaxSlots)
 	}
+	return ValidateStart(a.StartUnixMillis, now)
+}
+
+// ValidateStart checks the start time of an upstream in a message that arrived now. A start
+// time in the future would make all announcements of the upstream itself look stale. Errors
+// wrap ErrInvalid.
+func ValidateStart(startUnixMillis int64, now time.Time) error {
+	if startUnixMillis < 0 || startUnixMillis > now.Add(maxClockLead).UnixMilli() {
+		return fmt.Errorf("%w: start time %d is negative or more than %v ahead", ErrInvalid, startUnixMillis, maxClockLead)
+	}
 	return nil
 }
 
