--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -15,6 +15,8 @@
 	// maxClockLead is how far a start time may be ahead of the receiver's clock, which may
 	// have been set back since the start.
 	maxClockLead = 24 * time.Hour
+	// maxSequence is the largest integer that all JSON libraries represent exactly.
+	maxSequence = 1<<53 - 1
 )
 
 // ErrInvalid marks an announcement that no upstream sends.
@@ -56,6 +58,9 @@
 	if a.Slots < 1 || a.Slots > MaxSlots {
 		return fmt.Errorf("%w: %d slots are not in the range 1 to %d", ErrInvalid, a.Slots, MaxSlots)
 	}
+	if a.Sequence < 0 || a.Sequence > maxSequence {
+		return fmt.Errorf("%w: sequence number %d is not in the range 0 to %d", ErrInvalid, a.Sequence, int64(maxSequence))
+	}
 	return ValidateStart(a.StartUnixMillis, now)
 }
 
