Reject ids of upstreams that are not names

The id of a heartbeat or deregistration was taken from the URL unchecked, and that of a health response from a header. It becomes a part of the node's status, which other nodes read as one datagram of at most 1,200 bytes, and of a header of each request. A long id made the status unreadable for all others; ids with line breaks or binary bytes were taken as well. A deregistration without an id stopped an upstream that the node did not know yet: its heartbeats looked stale until its next start.

An id has 1 to 128 visible ASCII characters. Others get 400, or are not adopted.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -17,6 +18,8 @@
 	maxClockLead = 24 * time.Hour
 	// maxSequence is the largest integer that all JSON libraries represent exactly.
 	maxSequence = 1<<53 - 1
+	// maxIDBytes keeps the status of a node, which contains the id, within one datagram.
+	maxIDBytes = 128
 )
 
 // ErrInvalid marks an announcement that no upstream sends.
@@ -55,6 +58,9 @@
 // Validate checks the ranges of the values. now is the time at which the announcement
 // arrived. Errors wrap ErrInvalid.
 func (a Announcement) Validate(now time.Time) error {
+	if err := ValidateID(a.ID); err != nil {
+		return err
+	}
 	if a.Slots < 1 || a.Slots > MaxSlots {
 		return fmt.Errorf("%w: %d slots are not in the range 1 to %d", ErrInvalid, a.Slots, MaxSlots)
 	}
@@ -64,6 +70,18 @@
 	return ValidateStart(a.StartUnixMillis, now)
 }
 
+// ValidateID checks the id of an upstream: 1 to 128 visible ASCII characters, because it is
+// sent in headers. Errors wrap ErrInvalid.
+func ValidateID(id string) error {
+	if id == "" || len(id) > maxIDBytes {
+		return fmt.Errorf("%w: id of %d bytes is not in the range 1 to %d", ErrInvalid, len(id), maxIDBytes)
+	}
+	if strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return fmt.Errorf("%w: id %q has other than visible ASCII characters", ErrInvalid, id)
+	}
+	return nil
+}
+
 // ValidateStart checks the start time of an upstream in a message that arrived now. A start
 // time in the future would make all announcements of the upstream itself look stale. Errors
 // wrap ErrInvalid.
--- a/pkg/relay/probe.go
+++ b/pkg/relay/probe.go
@@ -16,7 +16,7 @@
 // that starts beside a running upstream. Announcements take precedence.
 func (s *Sidecar) Adopt(id string, load UpstreamLoad) {
 	s.mu.Lock()
-	adopted := s.tracker.Current().State == announce.Unknown && id != "" && load.Slots > 0
+	adopted := s.tracker.Current().State == announce.Unknown && announce.ValidateID(id) == nil && load.Slots > 0
 	if adopted {
 		s.tracker.Observe(announce.Announcement{ID: id, State: announce.Ready, Slots: load.Slots})
 		s.applyState()
