Check the length of a list in a status before it is allocated

The MessagePack decoder allocates a list in the length that its head claims. A datagram of 38 bytes on the port for statuses, whose list of suspects claimed 2^31-1 entries, ended the node: "fatal error: out of memory" (under a memory limit of 3 GB; the allocation was 34 GB).

A status is now decoded field by field. The number of suspects must not exceed the number of remaining bytes, the number of fields must be right, and nothing may follow. The encoding is unchanged; TestStatusEncoding compares all fields.

TestStatusWithHugeListAllocatesLittle failed before: 128,032,392 bytes allocated for a list of 4 million entries.

--- a/pkg/mesh/gossip.go
+++ b/pkg/mesh/gossip.go
@@ -14,6 +14,7 @@
 
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/roster"
+	"github.com/mulberrytray/mulberrytray/pkg/suspect"
 )
 
 const (
@@ -34,10 +35,14 @@
 	remoteGapPerSubscriber = 12 * time.Millisecond
 	// minStatusGap is the minimum time between two statuses.
 	minStatusGap = 5 * time.Millisecond
+	// statusFieldCount is the number of fields of an encoded status.
+	statusFieldCount = 11
 	// never is earlier than all other times of the directory's clock.
 	never = -time.Hour
 )
 
+var errStatus = errors.New("invalid status")
+
 // statusPeriod returns the time between two periodic statuses to all members.
 func statusPeriod(members int) time.Duration {
 	return max(minStatusPeriod, time.Duration(members)*periodPerMember)
@@ -319,17 +324,58 @@
 	return b.Bytes(), nil
 }
 
+// decodeStatus decodes a status that fills the datagram.
 func decodeStatus(b []byte) (roster.Status, error) {
 	var s roster.Status
-	if err := msgpack.Unmarshal(b, &s); err != nil {
+	r := bytes.NewReader(b)
+	d := msgpack.NewDecoder(r)
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return s, fmt.Errorf("decode status: %w", err)
+	}
+	if n != statusFieldCount {
+		return s, fmt.Errorf("%w: %d fields", errStatus, n)
+	}
+	err = d.DecodeMulti(&s.Address, &s.Incarnation, &s.Sequence, &s.Phase, &s.Domain, &s.Service, &s.ConfigVersion, &s.StoreUnavailable, &s.Upstream)
+	if err != nil {
+		return s, fmt.Errorf("decode status: %w", err)
+	}
+	if s.Suspects, err = decodeSuspects(d, r); err != nil {
+		return s, err
+	}
+	if err := d.Decode(&s.ReceiverIncarnation); err != nil {
 		return s, fmt.Errorf("decode status: %w", err)
 	}
+	if r.Len() > 0 {
+		return s, fmt.Errorf("%w: %d bytes follow it", errStatus, r.Len())
+	}
 	if _, err := netip.ParseAddrPort(s.Address); err != nil {
 		return s, fmt.Errorf("decode status: %w", err)
 	}
 	return s, nil
 }
 
+// decodeSuspects decodes the list of suspects from the decoder, which reads from r. It checks
+// the length first, because the decoder allocates lists in their full length.
+func decodeSuspects(d *msgpack.Decoder, r *bytes.Reader) ([]suspect.Entry, error) {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return nil, fmt.Errorf("decode suspects: %w", err)
+	}
+	if n > r.Len() {
+		return nil, fmt.Errorf("%w: %d suspects in %d bytes", errStatus, n, r.Len())
+	}
+	var list []suspect.Entry
+	for range n {
+		var e suspect.Entry
+		if err := d.Decode(&e); err != nil {
+			return nil, fmt.Errorf("decode suspects: %w", err)
+		}
+		list = append(list, e)
+	}
+	return list, nil
+}
+
 // receiveLoop receives statuses until the connection is closed.
 func (g *gossip) receiveLoop() {
 	b := make([]byte, maxStatusBytes)
--- a/pkg/mesh/gossip_test.go
+++ b/pkg/mesh/gossip_test.go
@@ -1,11 +1,14 @@
 package mesh
 
 import (
+	"reflect"
+	"runtime"
 	"testing"
 	"time"
 
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/roster"
+	"github.com/mulberrytray/mulberrytray/pkg/suspect"
 )
 
 // A node that has just read addresses from the registry announces itself to them
@@ -52,7 +55,7 @@
 // An encoded status decodes to the same status, and other bytes are rejected.
 func TestStatusEncoding(t *testing.T) {
 	want := roster.Status{Address: "10.0.0.1:7600", Incarnation: 5, Sequence: 9, Phase: roster.Serving, Domain: "d", Service: "s", ConfigVersion: 7,
-		Upstream: roster.Upstream{ID: "u", Accepting: true, Limit: 7, Running: 3, SlowdownPercent: 400}}
+		Upstream: roster.Upstream{ID: "u", Accepting: true, Limit: 7, Running: 3, SlowdownPercent: 400}, Suspects: []suspect.Entry{{Fingerprint: 1 << 63, Crashes: 2}}, ReceiverIncarnation: 4}
 	b, err := encodeStatus(want)
 	if err != nil {
 		t.Fatal(err)
@@ -61,12 +64,33 @@
 		t.Errorf("encoded status has %d bytes, want at most 120", len(b))
 	}
 	got, err := decodeStatus(b)
-	if err != nil || got.Upstream != want.Upstream || got.Address != want.Address || got.ConfigVersion != 7 {
+	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v, %v", got, err)
 	}
-	for _, bad := range []string{"", "x", "\xff\xff", string(b[:10])} {
+	for _, bad := range []string{"", "x", "\xff\xff", string(b[:10]), string(b) + "x"} {
 		if _, err := decodeStatus([]byte(bad)); err == nil {
 			t.Errorf("%q was decoded", bad)
 		}
 	}
 }
+
+// A datagram that claims a list of suspects longer than itself must not make the node allocate
+// memory for it.
+func TestStatusWithHugeListAllocatesLittle(t *testing.T) {
+	b, err := encodeStatus(roster.Status{Address: "10.0.0.1:7600", Incarnation: 5, Sequence: 9, Phase: roster.Serving})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The last two bytes are the missing list of suspects and ReceiverIncarnation.
+	const listOf4Million = "\xdd\x00\x3d\x09\x00"
+	datagram := append(b[:len(b)-2:len(b)-2], listOf4Million...)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	if _, err := decodeStatus(datagram); err == nil {
+		t.Error("the status was decoded")
+	}
+	runtime.ReadMemStats(&after)
+	if n := after.TotalAlloc - before.TotalAlloc; n > 4<<20 {
+		t.Errorf("allocated %d bytes for a datagram of %d bytes", n, len(datagram))
+	}
+}
