Reject statuses with numbers or addresses out of range

A status that could be decoded was taken with any values. The largest incarnation for another node's address did the same to that node, an age of the slowdown below zero made later reports look outdated, and a member with port 0 or a broadcast address got statuses, each with an error line.

roster.Status.Validate checks addresses and ranges; a status that fails is ignored as a whole, and the known members stay.

--- a/pkg/mesh/gossip.go
+++ b/pkg/mesh/gossip.go
@@ -41,8 +41,6 @@
 	never = -time.Hour
 )
 
-var errStatus = errors.New("invalid status")
-
 // statusPeriod returns the time between two periodic statuses to all members.
 func statusPeriod(members int) time.Duration {
 	return max(minStatusPeriod, time.Duration(members)*periodPerMember)
@@ -324,7 +322,7 @@
 	return b.Bytes(), nil
 }
 
-// decodeStatus decodes a status that fills the datagram.
+// decodeStatus decodes and checks a status that fills the datagram.
 func decodeStatus(b []byte) (roster.Status, error) {
 	var s roster.Status
 	r := bytes.NewReader(b)
@@ -334,7 +332,7 @@
 		return s, fmt.Errorf("decode status: %w", err)
 	}
 	if n != statusFieldCount {
-		return s, fmt.Errorf("%w: %d fields", errStatus, n)
+		return s, fmt.Errorf("%w: %d fields", roster.ErrInvalid, n)
 	}
 	err = d.DecodeMulti(&s.Address, &s.Incarnation, &s.Sequence, &s.Phase, &s.Domain, &s.Service, &s.ConfigVersion, &s.StoreUnavailable, &s.Upstream)
 	if err != nil {
@@ -347,12 +345,9 @@
 		return s, fmt.Errorf("decode status: %w", err)
 	}
 	if r.Len() > 0 {
-		return s, fmt.Errorf("%w: %d bytes follow it", errStatus, r.Len())
-	}
-	if _, err := netip.ParseAddrPort(s.Address); err != nil {
-		return s, fmt.Errorf("decode status: %w", err)
+		return s, fmt.Errorf("%w: %d bytes follow it", roster.ErrInvalid, r.Len())
 	}
-	return s, nil
+	return s, s.Validate(time.Now())
 }
 
 // decodeSuspects decodes the list of suspects from the decoder, which reads from r. It checks
@@ -363,7 +358,7 @@
 		return nil, fmt.Errorf("decode suspects: %w", err)
 	}
 	if n > r.Len() {
-		return nil, fmt.Errorf("%w: %d suspects in %d bytes", errStatus, n, r.Len())
+		return nil, fmt.Errorf("%w: %d suspects in %d bytes", roster.ErrInvalid, n, r.Len())
 	}
 	var list []suspect.Entry
 	for range n {
--- a/pkg/mesh/gossip_test.go
+++ b/pkg/mesh/gossip_test.go
@@ -1,8 +1,10 @@
 package mesh
 
 import (
+	"math"
 	"reflect"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -94,3 +96,60 @@
 		t.Errorf("allocated %d bytes for a datagram of %d bytes", n, len(datagram))
 	}
 }
+
+// A status with a number out of range made a node unusable for the others, or itself: after an
+// incarnation near the largest int64 they ignored all its later statuses.
+func TestStatusOutOfRangeIsRejected(t *testing.T) {
+	now := time.Now()
+	valid := roster.Status{Address: "10.0.0.1:7600", Incarnation: now.UnixMilli(), Sequence: 9, Phase: roster.Serving, Domain: "d", Service: "s",
+		Upstream: roster.Upstream{ID: "u", Limit: 7}}
+	tests := []struct {
+		desc   string
+		change func(*roster.Status)
+	}{
+		{"port 0", func(s *roster.Status) { s.Address = "10.0.0.1:0" }},
+		{"port out of range", func(s *roster.Status) { s.Address = "10.0.0.1:65536" }},
+		{"unspecified address", func(s *roster.Status) { s.Address = "0.0.0.0:7600" }},
+		{"multicast address", func(s *roster.Status) { s.Address = "224.0.0.1:7600" }},
+		{"broadcast address", func(s *roster.Status) { s.Address = "255.255.255.255:7600" }},
+		{"incarnation 0", func(s *roster.Status) { s.Incarnation = 0 }},
+		{"largest incarnation", func(s *roster.Status) { s.Incarnation = math.MaxInt64 }},
+		{"negative incarnation of the receiver", func(s *roster.Status) { s.ReceiverIncarnation = -1 }},
+		{"largest incarnation of the receiver", func(s *roster.Status) { s.ReceiverIncarnation = math.MaxInt64 }},
+		{"unknown phase", func(s *roster.Status) { s.Phase = 9 }},
+		{"long id", func(s *roster.Status) { s.Upstream.ID = strings.Repeat("u", 129) }},
+		{"limit", func(s *roster.Status) { s.Upstream.Limit = 1e18 }},
+		{"negative limit", func(s *roster.Status) { s.Upstream.Limit = -1 }},
+		{"running", func(s *roster.Status) { s.Upstream.Running = math.MinInt64 }},
+		{"queued", func(s *roster.Status) { s.Upstream.Queued = math.MaxInt64 }},
+		{"slowdown", func(s *roster.Status) { s.Upstream.SlowdownPercent = math.MaxInt64 }},
+		{"negative slowdown", func(s *roster.Status) { s.Upstream.SlowdownPercent = -1 }},
+		{"negative age of the slowdown", func(s *roster.Status) { s.Upstream.SlowdownAgeMillis = -1 }},
+		{"age of the slowdown", func(s *roster.Status) { s.Upstream.SlowdownAgeMillis = math.MaxInt64 }},
+		{"wait", func(s *roster.Status) { s.Upstream.WaitMillis = math.MaxInt64 }},
+		{"service time", func(s *roster.Status) { s.Upstream.ServiceMicros = math.MaxInt64 }},
+		{"failures", func(s *roster.Status) { s.Upstream.FailurePermille = 1001 }},
+		{"negative crashes", func(s *roster.Status) { s.Suspects = []suspect.Entry{{Fingerprint: 1, Crashes: -1}} }},
+		{"crashes", func(s *roster.Status) { s.Suspects = []suspect.Entry{{Fingerprint: 1, Crashes: math.MaxInt64}} }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			s := valid
+			tt.change(&s)
+			b, err := encodeStatus(s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if s, err := decodeStatus(b); err == nil {
+				t.Errorf("%+v was decoded", s)
+			}
+		})
+	}
+	b, err := encodeStatus(valid)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := decodeStatus(b); err != nil {
+		t.Errorf("a valid status: %v", err)
+	}
+}
