Ignore states of upstreams out of range in responses of other nodes

The state of the upstream in a response of another node was taken with any numbers: with a limit of 1e18 the upstream was preferred for all requests, with a negative age of its slowdown later reports looked outdated.

The state is checked like that in a status. If it is invalid, it stays unknown and the response counts: before, a state that could not be decoded turned the complete response of an upstream into a failure.

TestUpstreamStateOutOfRangeIsRejected failed before in 10 of 11 cases ("was decoded to ...").

--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -256,7 +256,8 @@
 	}
 	state, err := decodeState(fields[6])
 	if err != nil {
-		return failed("peer-answer-invalid", false)
+		// The response itself is complete: only the state stays unknown.
+		state = roster.Upstream{}
 	}
 	h := resp.Header.Clone()
 	h.Del(outcomeHeader)
@@ -290,6 +291,9 @@
 	if u.ID, err = url.PathUnescape(id); err != nil {
 		return u, fmt.Errorf("%w: upstream state: %w", errPeer, err)
 	}
+	if err := u.Validate(); err != nil {
+		return u, fmt.Errorf("%w: upstream state: %w", errPeer, err)
+	}
 	return u, nil
 }
 
