Leave out records of the nodes' topic that are no addresses

Every key of the nodes' topic became a member, whatever another writer had left there: text, a port of 0 or out of range, a broadcast address.

Keys that are not the IP:port of one node are left out when the list is read, and one event per read gives their number and the first error.

TestRecordsThatAreNoAddressesAreNoMembers failed before: 18 members instead of 2.

--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -313,10 +314,11 @@
 func (n *Node) registerOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
-	addresses, err := n.registerAndList(ctx)
+	registered, err := n.registerAndList(ctx)
 	if err != nil {
 		return err
 	}
+	addresses := n.validAddresses(registered)
 	n.dir.mu.Lock()
 	for _, a := range addresses {
 		n.dir.roster.Add(n.dir.now(), a)
@@ -327,6 +329,24 @@
 	return nil
 }
 
+// validAddresses returns the addresses of nodes among the registered ones. Another writer may
+// have added others; one event reports them.
+func (n *Node) validAddresses(registered []string) []string {
+	var valid []string
+	var firstErr error
+	for _, a := range registered {
+		if err := roster.ValidateAddress(a); err != nil {
+			firstErr = cmp.Or(firstErr, err)
+			continue
+		}
+		valid = append(valid, a)
+	}
+	if firstErr != nil {
+		n.deps.Events.Emit(event.RecordInvalid, event.Fields{"count": len(registered) - len(valid), "error": firstErr.Error()})
+	}
+	return valid
+}
+
 // registerAndList registers the node's address unless it is registered already, and returns
 // all registered addresses. Addresses stay registered when their node stops, so that a node
 // that restarts doesn't need to register again. A new node registers before it reads: if two
--- a/pkg/mesh/node_test.go
+++ b/pkg/mesh/node_test.go
@@ -90,6 +90,28 @@
 	}
 }
 
+// Another writer's records in the nodes' topic name no node: they aren't members, which would
+// receive statuses for a day, and the nodes beside them are found.
+func TestRecordsThatAreNoAddressesAreNoMembers(t *testing.T) {
+	store := newMemoryStore()
+	store.publish(t, 1, "a", "b")
+	a := startNode(t, newSettings(t, "a", 0), &storeClient{memoryStore: store})
+	await.Eventually(t, "the first node is registered", func() bool {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return len(store.addresses) > 0
+	})
+	store.mu.Lock()
+	store.addresses = append(store.addresses, "", "x", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:99999999999999999999",
+		"0.0.0.0:7600", "[::]:7600", "224.0.0.1:7600", "255.255.255.255:7600", "host:7600", "[fe80::1%x]:7600", "\x00\xff", strings.Repeat("\xff", 255), strings.Repeat("[", 255))
+	store.mu.Unlock()
+	b := startNode(t, newSettings(t, "b", 0), &storeClient{memoryStore: store})
+	await.Eventually(t, "both have each other's status", func() bool { return a.respondsWith("/b/", "b") && b.respondsWith("/a/", "a") })
+	if n := b.dir.len(); n != 2 {
+		t.Errorf("%d members, want 2", n)
+	}
+}
+
 func TestNodeWithoutConfigurationIsNotReady(t *testing.T) {
 	a := startNode(t, newSettings(t, "a", 0), &storeClient{memoryStore: newMemoryStore()})
 	ready := func() int {
