Pause after fetching a configuration that is not newer

A status may report a newer version than the configuration of its sender has. The node then fetched that configuration up to 16 times without a pause, for each of the sender's statuses (several per second): the connection, the sender and the decoding of a large configuration were busy with it.

The pause after a failed fetch also follows a fetch that brought nothing newer.

--- a/pkg/mesh/fetch.go
+++ b/pkg/mesh/fetch.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// meanFetchPause is the mean pause after a failed attempt to fetch a configuration.
+	// meanFetchPause is the mean pause after an attempt that brought no newer configuration.
 	meanFetchPause = 40 * time.Millisecond
 	// maxFetchAttempts is the number of attempts after which the node stops fetching until
 	// the next status with a newer version.
@@ -74,11 +74,12 @@
 			return
 		}
 		encoded, err := f.fetch(ctx, address)
-		if err == nil {
-			f.watcher.installIfNewer(encoded, address)
+		if err == nil && f.watcher.installIfNewer(encoded, address) {
 			continue
 		}
-		f.events.Emit(event.ConfigInvalid, event.Fields{"source": address, "error": err.Error()})
+		if err != nil {
+			f.events.Emit(event.ConfigInvalid, event.Fields{"source": address, "error": err.Error()})
+		}
 		if !sleep(ctx, time.Duration(float64(meanFetchPause)*(0.5+rand.Float64()))) {
 			return
 		}
