Accept the upstream after a stop message of another one

A node that had just started and knew no upstream took a deregistration under any id without a start time as the stop of the upstream beside it, at the current time. If it came from another writer, or late from an earlier upstream, all heartbeats of the running upstream looked stale, and it got no requests until its next start.

The stop of an upstream of which nothing is known applies only to its own id: another one is accepted, and announcements of the stopped one before that time stay stale.

TestStopOfAnotherUpstreamDoesNotStopUnknownUpstream failed before: "verdict 0, state gone, want changed and ready".

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -108,15 +108,31 @@
 // Tracker stores the newest announcement. It is not safe for concurrent use.
 type Tracker struct {
 	current Announcement
+	// unknownStop is the stop of an upstream of which nothing was known, not even its start
+	// time.
+	unknownStop stop
 }
 
+// stop is the stop of all starts under an id up to a time, in Unix milliseconds.
+type stop struct {
+	id    string
+	until int64
+}
+
+func (s stop) includes(a Announcement) bool { return a.ID == s.id && a.StartUnixMillis <= s.until }
+
 // Current returns the newest announcement; State is Unknown before the first.
 func (t *Tracker) Current() Announcement { return t.current }
 
 // Observe processes an announcement that just arrived.
 func (t *Tracker) Observe(a Announcement) Verdict {
 	cur := t.current
-	if cur.State == Unknown || a.StartUnixMillis > cur.StartUnixMillis {
+	if t.unknownStop.includes(a) {
+		return Stale
+	}
+	// An unknown upstream that stopped may have been another one, which has no start time to
+	// compare with.
+	if cur.State == Unknown || a.StartUnixMillis > cur.StartUnixMillis || t.unknownStop.includes(cur) {
 		t.current = a
 		return Changed
 	}
@@ -137,6 +153,9 @@
 	cur := t.current
 	if cur.State == Unknown {
 		t.current = Announcement{ID: id, State: Gone, StartUnixMillis: startOrNow(start, now)}
+		if start == 0 {
+			t.unknownStop = stop{id, now}
+		}
 		return Changed
 	}
 	if cur.ID != id || (start != 0 && start < cur.StartUnixMillis) || cur.State == Gone {
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -75,3 +75,20 @@
 		})
 	}
 }
+
+// A stop message of another upstream that arrives before the first announcement says nothing
+// about the upstream beside the node.
+func TestStopOfAnotherUpstreamDoesNotStopUnknownUpstream(t *testing.T) {
+	const now = 5000
+	var tr Tracker
+	tr.ObserveStop("z", 0, now)
+	if got := tr.Observe(Announcement{ID: "a", State: Ready, Slots: 4, StartUnixMillis: 100, Sequence: 30}); got != Changed || tr.Current().State != Ready {
+		t.Errorf("verdict %v, state %v, want changed and ready", got, tr.Current().State)
+	}
+	if got := tr.Observe(Announcement{ID: "z", State: Ready, Slots: 4, StartUnixMillis: 200, Sequence: 31}); got != Stale {
+		t.Errorf("late announcement of the stopped upstream: verdict %v, want stale", got)
+	}
+	if got := tr.Observe(Announcement{ID: "z", State: Ready, Slots: 4, StartUnixMillis: now + 100, Sequence: 1}); got != Changed {
+		t.Errorf("a later start under the same id: verdict %v, want changed", got)
+	}
+}
