Bound time limits in requests and calls

The caller's time limit, and the times in calls between nodes, were multiplied into a duration without a bound: a limit of ms became -1 ms, and the request was rejected although the route's own limit is lower.

Numbers of milliseconds are limited to 10 years, with the sign kept.

TestHugeTimeLimitIsNotNegative failed before: "time limit ms: -1ms, want that of the route".

--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -231,7 +231,14 @@
 
 const maxInt64 = 1<<63 - 1
 
-func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+// maxMillis bounds numbers of milliseconds in messages (10 years), so that times can be added
+// to them without an overflow.
+const maxMillis = 10 * 365 * 24 * 3600 * 1000
+
+// ms returns n milliseconds, or the nearest bound.
+func ms(n int64) time.Duration {
+	return time.Duration(max(-maxMillis, min(n, maxMillis))) * time.Millisecond
+}
 
 // encodeOutcome returns the result without status, header and body, for outcomeHeader.
 func (r *Result) encodeOutcome() string {
