Treat results of an unknown kind from other nodes as failures

The kind of a result was taken from the response of another node unchecked. With an unknown kind, the caller got the status of the hop, 200, with an error body.

Such a result is a failure that may have run: 502, and no second attempt unless the request is idempotent.

TestUnknownKindOfResultIsFailure failed before: "kind other: &{Kind:other Status:200 ...}, want a failed call".

--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -252,7 +253,7 @@
 // peerResult decodes the response of another node. The body is left to the caller.
 func peerResult(resp *http.Response) *Result {
 	fields := strings.Split(resp.Header.Get(outcomeHeader), ";")
-	if len(fields) != outcomeFieldCount {
+	if len(fields) != outcomeFieldCount || !slices.Contains([]Kind{Completed, Rejected, Declined, Failed}, Kind(fields[0])) {
 		return failed("peer-answer-invalid", false)
 	}
 	retryAfter, err1 := strconv.ParseInt(fields[2], 10, 64)
--- a/pkg/relay/peer_state_test.go
+++ b/pkg/relay/peer_state_test.go
@@ -33,3 +33,14 @@
 		t.Errorf("%+v, want a completed call with an unknown state", r)
 	}
 }
+
+// A result of an unknown kind was sent to the caller with the status of the hop, 200.
+func TestUnknownKindOfResultIsFailure(t *testing.T) {
+	for _, kind := range []Kind{"", "other", "Answered"} {
+		outcome := (&Result{Kind: kind}).encodeOutcome()
+		r := peerResult(&http.Response{StatusCode: http.StatusOK, Header: http.Header{outcomeHeader: {outcome}}})
+		if r.Kind != Failed || r.Status != 0 {
+			t.Errorf("kind %q: %+v, want a failed call", kind, r)
+		}
+	}
+}
