--- a/pkg/mesh/gossip.go
+++ b/pkg/mesh/gossip.go
@@ -35,6 +35,8 @@
 	remoteGapPerSubscriber = 12 * time.Millisecond
 	// minStatusGap is the minimum time between two statuses.
 	minStatusGap = 5 * time.Millisecond
+	// invalidLogInterval is the minimum time between two events on invalid statuses.
+	invalidLogInterval = 10 * time.Second
 	// statusFieldCount is the number of fields of an encoded status.
 	statusFieldCount = 11
 	// never is earlier than all other times of the directory's clock.
@@ -66,6 +68,8 @@
 	updates, urgent chan struct{}
 	// removed receives the addresses of removed members.
 	removed chan string
+	// invalid limits the events on received statuses that are invalid.
+	invalid event.Limiter
 
 	mu          sync.Mutex
 	incarnation int64
@@ -79,6 +83,7 @@
 	return &gossip{
 		dir: dir, conn: conn, events: events, updates: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 		removed: make(chan string, unregisterQueueSize), incarnation: time.Now().UnixMilli(),
+		invalid: event.Limiter{Interval: invalidLogInterval},
 	}
 }
 
@@ -385,7 +390,9 @@
 		}
 		s, err := decodeStatus(b[:n])
 		if err != nil {
-			g.events.Emit(event.StatusInvalid, event.Fields{"member": from.String(), "error": err.Error()})
+			if suppressed, ok := g.invalid.Allow(time.Now()); ok {
+				g.events.Emit(event.StatusInvalid, event.Fields{"member": from.String(), "error": err.Error(), "suppressed": suppressed})
+			}
 			continue
 		}
 		g.receiveStatus(s)
