--- a/pkg/mesh/gossip_test.go
+++ b/pkg/mesh/gossip_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bytes"
 	"math"
 	"reflect"
 	"runtime"
@@ -153,3 +154,32 @@
 		t.Errorf("a valid status: %v", err)
 	}
 }
+
+// No datagram panics, and one that is no status of the known member doesn't change it.
+func FuzzStatus(f *testing.F) {
+	now := time.Now()
+	known := roster.Status{Address: "10.0.0.1:7600", Incarnation: now.UnixMilli(), Sequence: 9, Phase: roster.Serving, Domain: "d", Service: "s",
+		Upstream: roster.Upstream{ID: "u", Accepting: true, Limit: 7}}
+	b, err := encodeStatus(known)
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, seed := range [][]byte{b, b[:20], append(b[:len(b)-2:len(b)-2], "\xdd\xff\xff\xff\xff"...), bytes.Repeat([]byte{0x91}, maxStatusBytes), {0x9b}, {0xdf, 0xff, 0xff, 0xff, 0xff}} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		r := roster.New()
+		r.Observe(time.Second, known)
+		s, err := decodeStatus(datagram)
+		if err != nil {
+			return
+		}
+		if err := s.Validate(time.Now()); err != nil {
+			t.Errorf("%+v was decoded: %v", s, err)
+		}
+		r.Observe(2*time.Second, s)
+		if m := r.Member(known.Address); m == nil || (s.Address != known.Address && !reflect.DeepEqual(m.Status, known)) {
+			t.Errorf("after %+v, the known member is %+v", s, m)
+		}
+	})
+}
