Match responses with an id only to requests with that id

Seen in a test: an upstream that wrote a response to an earlier request once more after it had received a health probe. The probe, which has no id, took that response for its own, with a load or a refusal that was not the answer, and left the real one on the connection.

Cause: a request without id accepted any response.

Change: it accepts only responses without id, as upstreams send to a probe. Where responses have no id at all, nothing changes.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -358,8 +358,9 @@
 	return nil
 }
 
-// readResponse returns the response with the request's id. Responses to other requests
-// are skipped, since an upstream may respond to an earlier request a second time.
+// readResponse returns the response with the request's id, or without id if the request
+// has none. Responses to other requests are skipped, since an upstream may respond to an
+// earlier request a second time.
 func readResponse(cn *conn, req *Request) (*http.Response, error) {
 	want := req.Header.Get(req.IDHeader)
 	for range maxForeignResponses {
@@ -371,7 +372,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if got := resp.Header.Get(req.IDHeader); want == "" || got == want {
+		if resp.Header.Get(req.IDHeader) == want {
 			cn.limit.set(math.MaxInt64, nil)
 			return resp, nil
 		}
--- a/pkg/relay/helper_test.go
+++ b/pkg/relay/helper_test.go
@@ -144,3 +144,19 @@
 	in.Install(table)
 	return in
 }
+
+// connCounter counts the requests of each connection.
+type connCounter struct {
+	mu sync.Mutex
+	n  map[net.Conn]int
+}
+
+func (c *connCounter) next(conn net.Conn) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.n == nil {
+		c.n = map[net.Conn]int{}
+	}
+	c.n[conn]++
+	return c.n[conn]
+}
