Believe a refusal only if it belongs to the request

Callers saw: 503, "not run, try again", for a request that the upstream had run or was running, or such a request was sent to a second upstream.

Cause: an upstream wrote an earlier refusal once more on a kept connection. The id in the response distinguishes it, but not if the caller had used the same id before, if the request had no id, or in the product without the platform, where upstreams need not repeat ids.

Change: a refusal (the header for it, or 421) counts only if its response repeats the id of the request or is the first one on its connection; otherwise the outcome is unknown: 502, or a retry if the request is idempotent. A connection on which a request was refused is not used for another request with that id, nor for any other request if the refused one had no id. Without the platform, upstreams may repeat X-Request-Id, and one that does keeps its refusals on kept connections.

An ordinary refusal with the right id is still retried at another upstream, also if further bytes follow it.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -19,6 +19,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -55,6 +56,8 @@
 	// maxForeignResponses bounds the number of responses to other requests that are
 	// skipped.
 	maxForeignResponses = 4
+	// maxDeclinedIDs is the number of refusals after which a connection is not reused.
+	maxDeclinedIDs = 64
 	// maxHeadBytes limits the status line and the headers of one response.
 	maxHeadBytes = 64 << 10
 	// maxForeignBodyBytes limits the body of one response to another request.
@@ -76,8 +79,15 @@
 	// IDHeader is the header with the request's id, which the response repeats; empty
 	// if responses have no id.
 	IDHeader string
+	// IDOptional is set if the upstream may omit the id or send another one.
+	IDOptional bool
+	// NotRunHeader is in responses of an upstream that did not run the request; empty if
+	// there is no such header.
+	NotRunHeader string
 }
 
+func (r *Request) id() string { return r.Header.Get(r.IDHeader) }
+
 // Response is the upstream's response.
 type Response struct {
 	Status int
@@ -88,6 +98,11 @@
 	Rest io.ReadCloser
 	// Length is the length of the whole body, or -1 if it is not known.
 	Length int64
+	// NotRun is set if the response states that the upstream did not run the request.
+	NotRun bool
+	// Matched is set if the response certainly belongs to the request: it repeats its id
+	// or is the first one on its connection. Otherwise it may repeat an earlier response.
+	Matched bool
 }
 
 // Client sends requests to one upstream address. It is safe for concurrent use.
@@ -110,6 +125,12 @@
 	r         *bufio.Reader
 	idleSince time.Time
 	keepAlive time.Duration
+	// reused is set if the connection has carried an earlier request.
+	reused bool
+	// declinedIDs are the ids of the requests on this connection that the upstream did not
+	// run. A repeated refusal would match another request with the same id, or any request
+	// without id.
+	declinedIDs []string
 }
 
 // Address returns the upstream's address.
@@ -135,7 +156,7 @@
 // Do sends the request and returns its response. Cancelling the context closes the
 // connection. Errors wrap ErrNotSent or ErrOutcomeUnknown.
 func (c *Client) Do(ctx context.Context, req *Request) (*Response, error) {
-	cn, err := c.acquire(ctx, req.AtMostOnce)
+	cn, err := c.acquire(ctx, req)
 	if err != nil {
 		return nil, err
 	}
@@ -159,9 +180,9 @@
 }
 
 // acquire returns a usable idle connection or opens a new one.
-func (c *Client) acquire(ctx context.Context, atMostOnce bool) (*conn, error) {
+func (c *Client) acquire(ctx context.Context, req *Request) (*conn, error) {
 	for {
-		cn := c.popIdle(atMostOnce)
+		cn := c.popIdle(req)
 		if cn == nil {
 			break
 		}
@@ -183,7 +204,7 @@
 
 // popIdle removes and returns the most recently used idle connection, or nil if it
 // must not be reused. If it has exceeded its timeout, so have all others.
-func (c *Client) popIdle(atMostOnce bool) *conn {
+func (c *Client) popIdle(req *Request) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.idle) == 0 {
@@ -198,7 +219,7 @@
 		c.idle = nil
 		return nil
 	}
-	if atMostOnce && age > maxIdleAtMostOnce {
+	if req.AtMostOnce && age > maxIdleAtMostOnce || slices.Contains(cn.declinedIDs, req.id()) {
 		return nil
 	}
 	c.idle = c.idle[:len(c.idle)-1]
@@ -208,7 +229,7 @@
 // putIdle stores a connection for reuse.
 func (c *Client) putIdle(cn *conn, header http.Header) {
 	_ = cn.SetDeadline(time.Time{})
-	cn.idleSince, cn.keepAlive = time.Now(), keepAlive(header)
+	cn.idleSince, cn.keepAlive, cn.reused = time.Now(), keepAlive(header), true
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = append(c.idle, cn)
@@ -241,7 +262,14 @@
 	if err != nil {
 		return nil, writeError(written, err)
 	}
-	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	out := &Response{
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		NotRun:  resp.Header.Get(req.NotRunHeader) != "" || resp.StatusCode == http.StatusMisdirectedRequest,
+		Matched: !cn.reused || (req.id() != "" && resp.Header.Get(req.IDHeader) == req.id()),
+	}
+	if out.NotRun {
+		cn.declinedIDs = append(cn.declinedIDs, req.id())
+	}
 	buffered := new(bytes.Buffer)
 	n, err := io.CopyN(buffered, resp.Body, bodyBufferBytes)
 	out.Body = buffered.Bytes()
@@ -281,7 +309,8 @@
 func reusable(cn *conn, resp *http.Response, written chan error) bool {
 	select {
 	case err := <-written:
-		return err == nil && !resp.Close && cn.r.Buffered() == 0
+		return err == nil && !resp.Close && cn.r.Buffered() == 0 && len(cn.declinedIDs) < maxDeclinedIDs &&
+			!slices.Contains(cn.declinedIDs, "")
 	default:
 		return false
 	}
@@ -362,7 +391,6 @@
 // has none. Responses to other requests are skipped, since an upstream may respond to an
 // earlier request a second time.
 func readResponse(cn *conn, req *Request) (*http.Response, error) {
-	want := req.Header.Get(req.IDHeader)
 	for range maxForeignResponses {
 		cn.limit.set(maxHeadBytes, errHeadTooLong)
 		resp, err := http.ReadResponse(cn.r, &http.Request{Method: req.Method})
@@ -372,7 +400,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if resp.Header.Get(req.IDHeader) == want {
+		if req.IDOptional || resp.Header.Get(req.IDHeader) == req.id() {
 			cn.limit.set(math.MaxInt64, nil)
 			return resp, nil
 		}
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -20,6 +20,8 @@
 	// ResponseID repeats the request's id in responses of upstreams; empty if they
 	// don't send it.
 	ResponseID string
+	// ResponseIDOptional is set if upstreams may omit ResponseID or send another one.
+	ResponseIDOptional bool
 	// TimeoutMillis is the time limit of the caller.
 	TimeoutMillis string
 	// Seal is in every response that an upstream generated; empty if there is no
--- a/pkg/relay/probe.go
+++ b/pkg/relay/probe.go
@@ -112,7 +112,10 @@
 
 // Probe requests the upstream's health and load.
 func (s *Sidecar) Probe(ctx context.Context, path, host string) error {
-	resp, err := s.client.Do(ctx, &exchange.Request{Method: http.MethodGet, URI: path, Host: host, Header: http.Header{}, IDHeader: s.names.ResponseID})
+	resp, err := s.client.Do(ctx, &exchange.Request{
+		Method: http.MethodGet, URI: path, Host: host, Header: http.Header{},
+		IDHeader: s.names.ResponseID, IDOptional: s.names.ResponseIDOptional, NotRunHeader: s.names.NotRun,
+	})
 	if err != nil {
 		if errors.Is(err, exchange.ErrConnRefused) && ctx.Err() == nil {
 			s.markDown(err)
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -156,19 +156,23 @@
 	h.Set(s.names.ExpectUpstream, c.Upstream)
 	return &exchange.Request{
 		Method: c.Method, URI: c.URI, Host: c.Host, Header: h, Body: c.Body, Rest: c.Rest, Length: c.Length,
-		AtMostOnce: !c.Idempotent, IDHeader: s.names.ResponseID,
+		AtMostOnce: !c.Idempotent, IDHeader: s.names.ResponseID, IDOptional: s.names.ResponseIDOptional, NotRunHeader: s.names.NotRun,
 	}
 }
 
 // classifyResponse converts the upstream's response to a result: Declined if the
-// request was not run, Failed if the response is invalid, Completed otherwise.
+// request was not run, Failed if the response is invalid or may be a repeated refusal of
+// another request, Completed otherwise.
 func (s *Sidecar) classifyResponse(c *Call, resp *exchange.Response) *Result {
 	if l, ok := s.names.ParseLoad(resp.Header.Get(s.names.Load)); ok {
 		s.RecordLoad(l)
 	}
 	result := &Result{Kind: Completed, Status: resp.Status, Header: endToEnd(resp.Header), Body: resp.Body, Rest: resp.Rest, Length: resp.Length}
 	switch {
-	case resp.Header.Get(s.names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest:
+	case resp.NotRun && !resp.Matched:
+		result.close()
+		result = failed("unmatched-refusal", false)
+	case resp.NotRun:
 		result.close()
 		result = &Result{Kind: Declined, Reason: "declined-by-upstream", RetryAfter: downRetry}
 	case (s.names.Seal != "" && resp.Header.Get(s.names.Seal) == "") || resp.Header.Get("Content-Encoding") != "":
--- a/pkg/standalone/standalone.go
+++ b/pkg/standalone/standalone.go
@@ -11,16 +11,20 @@
 )
 
 // HeaderNames returns the names of the headers for callers and upstreams. Responses
-// of upstreams have no seal, need not repeat the request id and report no load.
+// of upstreams have no seal, need not repeat the request id and report no load. A
+// Mulberrytray-Not-Run header is believed if its response repeats the request id or is the
+// first one on its connection.
 func HeaderNames() relay.HeaderNames {
 	return relay.HeaderNames{
-		RequestID:      outcome.HeaderRequestID,
-		TimeoutMillis:  outcome.HeaderTimeout,
-		ExpectUpstream: "Mulberrytray-Expect-Upstream",
-		UpstreamID:     "Mulberrytray-Upstream-Id",
-		NotRun:         "Mulberrytray-Not-Run",
-		CallerService:  "Mulberrytray-Caller-Service",
-		ParseLoad:      func(string) (relay.UpstreamLoad, bool) { return relay.UpstreamLoad{}, false },
+		RequestID:          outcome.HeaderRequestID,
+		ResponseID:         outcome.HeaderRequestID,
+		ResponseIDOptional: true,
+		TimeoutMillis:      outcome.HeaderTimeout,
+		ExpectUpstream:     "Mulberrytray-Expect-Upstream",
+		UpstreamID:         "Mulberrytray-Upstream-Id",
+		NotRun:             "Mulberrytray-Not-Run",
+		CallerService:      "Mulberrytray-Caller-Service",
+		ParseLoad:          func(string) (relay.UpstreamLoad, bool) { return relay.UpstreamLoad{}, false },
 	}
 }
 
