Believe a refusal of the upstream only if it belongs to the request

Callers of the sidecar saw in a test: 503 with the outcome "not-run" for a request that the upstream had received and run, after it had written an earlier refusal once more on a kept connection.

Cause: the sidecar took any response on the connection for that of its request, and a 503 with Mulberrytray-Outcome: not-run for a statement on this request.

Change: such a refusal counts if it repeats the request's X-Request-Id and no request with this id was refused on the connection before, or if it is the first response on its connection. Otherwise the outcome is unknown, with status 502. The ids are kept as hashes; after 1,024 refusals the connection is closed.

TestRepeatedRefusalIsNotTheOutcomeOfAnotherRequest/refusals_without_id: request 2: status 503, outcome "not-run"; want 502, "unknown" TestRepeatedRefusalIsNotTheOutcomeOfAnotherRequest/refusal_with_the_earlier_id: request 2: status 503, outcome "not-run"; want 502, "unknown" TestRepeatedRefusalIsNotTheOutcomeOfAnotherRequest/the_caller_repeats_the_id: request 2: status 503, outcome "not-run"; want 502, "unknown"

--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -136,6 +136,7 @@
 	}
 	if !s.acquire(ctx) {
 		w.Header().Set(outcome.HeaderOutcome, string(outcome.NotRun))
+		w.Header().Set(outcome.HeaderRequestID, r.Header.Get(outcome.HeaderRequestID))
 		http.Error(w, "no slot is free", http.StatusServiceUnavailable)
 		return
 	}
--- a/pkg/sidecar/dispatch.go
+++ b/pkg/sidecar/dispatch.go
@@ -51,6 +51,13 @@
 	if c.problem = invalidResponse(r.Method, resp); c.problem != nil {
 		return
 	}
+	if refused(resp) {
+		defer s.closeIfExhausted(c.gate)
+		if !c.gate.recordRefusal(c.forwarded.requestID, resp.Header.Get(outcome.HeaderRequestID)) {
+			c.problem = outcome.New(http.StatusBadGateway, outcome.ReasonInvalidAnswer, outcome.Unknown, "the refusal may belong to another request")
+			return
+		}
+	}
 	if c.gate.continued.Load() {
 		// If the caller received the final header before the 100 Continue, it
 		// would not send its body. A second 100 Continue is harmless.
@@ -62,6 +69,14 @@
 	}
 }
 
+// closeIfExhausted closes the connection after maxRefusedIDs refusals. It closes all idle
+// connections, because the transport may already have reused this one for another request.
+func (s *Sidecar) closeIfExhausted(g *writeGate) {
+	if g.exhausted() {
+		s.transport.CloseIdleConnections()
+	}
+}
+
 // bodyGrace is the time from the request's deadline to the read deadline of its
 // body. A caller that stops sending its body receives the deadline response before
 // its connection fails.
@@ -169,16 +184,20 @@
 	return outcome.New(http.StatusBadGateway, outcome.ReasonInvalidAnswer, outcome.Run, detail)
 }
 
+// refused reports whether the response states that the upstream did not run the request.
+func refused(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(outcome.HeaderOutcome) == string(outcome.NotRun)
+}
+
 // copyResponse forwards the upstream's response. An error means that it was
 // truncated.
 func copyResponse(w http.ResponseWriter, r *http.Request, resp *http.Response) error {
 	h := w.Header()
-	rejected := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(outcome.HeaderOutcome) == string(outcome.NotRun)
 	stream.CopyHeader(h, resp.Header)
 	stream.StripInternal(h)
 	h.Del(outcome.HeaderServedBy)
 	h.Set(outcome.HeaderOutcome, string(outcome.Run))
-	if rejected {
+	if refused(resp) {
 		h.Set(outcome.HeaderOutcome, string(outcome.NotRun))
 		h.Set(outcome.HeaderReason, string(outcome.ReasonOverload))
 	}
--- a/pkg/sidecar/dispatch_test.go
+++ b/pkg/sidecar/dispatch_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -211,3 +212,70 @@
 		t.Errorf("status %d, header %v, %d in flight", resp.StatusCode, resp.Header, s.Load().InFlight)
 	}
 }
+
+// Guards against an earlier refusal that the upstream writes once more on a kept
+// connection: it must not be reported as the outcome of a request that was run.
+func TestRepeatedRefusalIsNotTheOutcomeOfAnotherRequest(t *testing.T) {
+	const refusal = "HTTP/1.1 503 X\nContent-Length: 0\nMulberrytray-Outcome: not-run\n"
+	tests := []struct {
+		desc string
+		// first and second are the ids of the two requests, echoed the ids in the refusals.
+		first, second string
+		echoed        [2]string
+		want          outcome.Outcome
+	}{
+		{"refusals without id", "r1", "r2", [2]string{}, outcome.Unknown},
+		{"refusal with the earlier id", "r1", "r2", [2]string{"r1", "r1"}, outcome.Unknown},
+		{"the caller repeats the id", "r1", "r1", [2]string{"r1", "r1"}, outcome.Unknown},
+		{"another refusal", "r1", "r2", [2]string{"r1", "r2"}, outcome.NotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			u := newRawUpstream(t, func(u *rawUpstream, c net.Conn, r *http.Request) bool {
+				response := refusal
+				if id := tt.echoed[u.requests.Load()-1]; id != "" {
+					response += "X-Request-Id: " + id + "\n"
+				}
+				return respond(response+"\n", true)(u, c, r)
+			})
+			s := newSidecar(u.listener.Addr().String(), Config{})
+			for i, id := range []string{tt.first, tt.second} {
+				r := newRequest("POST", "http://x/", strings.NewReader("body"))
+				r.Header.Set(outcome.HeaderRequestID, id)
+				resp := do(s, r)
+				want, status := outcome.NotRun, 503
+				if i == 1 && tt.want == outcome.Unknown {
+					want, status = tt.want, 502
+				}
+				if got := resp.Header.Get(outcome.HeaderOutcome); got != string(want) || resp.StatusCode != status {
+					t.Errorf("request %d: status %d, outcome %q; want %d, %q", i+1, resp.StatusCode, got, status, want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against connections that collect the ids of refused requests without bound.
+func TestConnectionIsClosedAfterManyRefusals(t *testing.T) {
+	var conns atomic.Int32
+	var last atomic.Value
+	u := newRawUpstream(t, func(u *rawUpstream, c net.Conn, r *http.Request) bool {
+		if last.Swap(c) != c {
+			conns.Add(1)
+		}
+		return respond("HTTP/1.1 503 X\nContent-Length: 4\nMulberrytray-Outcome: not-run\nX-Request-Id: "+r.Header.Get(outcome.HeaderRequestID)+"\n\nbusy", true)(u, c, r)
+	})
+	s := newSidecar(u.listener.Addr().String(), Config{})
+	for i := range maxRefusedIDs + 10 {
+		// The requests may take longer than the lease.
+		renew(s, announcement(u.listener.Addr().String()))
+		resp := do(s, newRequest("POST", "http://x/", strings.NewReader("body")))
+		body, err := io.ReadAll(resp.Body)
+		if got := resp.Header.Get(outcome.HeaderOutcome); got != string(outcome.NotRun) || string(body) != "busy" || err != nil {
+			t.Fatalf("request %d: status %d, outcome %q, body %q, %v", i, resp.StatusCode, got, body, err)
+		}
+	}
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
--- a/pkg/sidecar/writegate.go
+++ b/pkg/sidecar/writegate.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -27,6 +29,8 @@
 
 	// continued is set when the upstream has sent 100 Continue.
 	continued atomic.Bool
+	// reused is set if the connection has carried an earlier request.
+	reused atomic.Bool
 
 	mu sync.Mutex
 	// conn is the only connection on which writes are allowed, nil before the first write.
@@ -69,6 +73,7 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*gatedConn); ok {
+				g.reused.Store(info.Reused)
 				c.gate.Store(g)
 			}
 		},
@@ -76,11 +81,61 @@
 	})
 }
 
+// recordRefusal records that the upstream refused the request with the id. It reports
+// whether the refusal certainly belongs to the request: it is the first response on the
+// connection, or it repeats the id, with which nothing was refused there before.
+// Otherwise it may repeat an earlier refusal.
+func (g *writeGate) recordRefusal(id, echoed string) bool {
+	g.mu.Lock()
+	c := g.conn
+	g.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	return c.recordRefusal(id) && (!g.reused.Load() || id == echoed)
+}
+
 // gatedConn is an upstream connection on which the gate of the current request checks
 // each write.
 type gatedConn struct {
 	net.Conn
 	gate atomic.Pointer[writeGate]
+
+	mu sync.Mutex
+	// refusedIDs are the hashes of the ids of the requests that the upstream refused on
+	// this connection.
+	refusedIDs []uint64
+}
+
+// maxRefusedIDs is the number of refusals after which a connection is closed.
+const maxRefusedIDs = 1024
+
+var refusedIDSeed = maphash.MakeSeed()
+
+// recordRefusal reports whether no request with the id was refused on the connection
+// before.
+func (c *gatedConn) recordRefusal(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hash := maphash.String(refusedIDSeed, id)
+	if slices.Contains(c.refusedIDs, hash) {
+		return false
+	}
+	c.refusedIDs = append(c.refusedIDs, hash)
+	return true
+}
+
+// exhausted reports whether the connection has carried maxRefusedIDs refusals.
+func (g *writeGate) exhausted() bool {
+	g.mu.Lock()
+	c := g.conn
+	g.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.refusedIDs) >= maxRefusedIDs
 }
 
 func (c *gatedConn) Write(b []byte) (int, error) {
