Report a configuration that exceeds the limit as an error

Cause: a configuration that a node fetches from another one was cut at 16 MB without an error, also after decompression. The rest could be valid in a format that has no end, such as the YAML of a node without the platform. Change: a longer one is an error.

TestTooLongConfigurationIsAnError: bytes: got, error <nil>

Result: passes, also for a configuration of exactly 16 MB.

--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -336,9 +336,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("%w: configuration request returned status %d", errPeer, resp.StatusCode)
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxConfigBytes))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxConfigBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errPeer, err)
 	}
+	if len(b) > maxConfigBytes {
+		return nil, fmt.Errorf("%w: configuration longer than %d bytes", errPeer, maxConfigBytes)
+	}
 	return b, nil
 }
--- a/pkg/relay/peer_test.go
+++ b/pkg/relay/peer_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"compress/gzip"
 	"io"
 	"net"
 	"net/http"
@@ -60,3 +61,25 @@
 		}
 	}
 }
+
+// A configuration that exceeds the limit, also after decompression, must not be cut to
+// one that is shorter but may be valid.
+func TestTooLongConfigurationIsAnError(t *testing.T) {
+	for _, n := range []int{maxConfigBytes, maxConfigBytes + 1} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Encoding", "gzip")
+			z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = z.Write(make([]byte, n))
+			_ = z.Close()
+		}))
+		b, err := NewHTTPPeers().Config(t.Context(), server.Listener.Addr().String())
+		if tooLong := n > maxConfigBytes; tooLong != (err != nil) || !tooLong && len(b) != n {
+			t.Errorf("%d bytes: got %d, error %v", n, len(b), err)
+		}
+		server.Close()
+	}
+}
