Limit what a node buffers of an unread response of another node

Seen in a test: a node received 4.4 MB of a response of another node that its caller did not read. With 15 callers that read slowly, or an upstream whose body has no end, that is the memory that a node may use.

Cause: the HTTP/2 client has a window of 4 MB for each response, besides the 256 KB that the relay buffers. Change: the window is 256 KB.

TestUnreadResponseOfNodeIsBuffered: the other node could send 4456448 bytes, want at most 1048576

--- a/pkg/relay/helper_test.go
+++ b/pkg/relay/helper_test.go
@@ -99,12 +99,18 @@
 
 // startPeer serves the sidecar's calls for other nodes and returns its address.
 func startPeer(t *testing.T, s *Sidecar) string {
+	t.Helper()
+	return startPeerHandler(t, http.HandlerFunc(s.ServePeer))
+}
+
+// startPeerHandler serves the handler for other nodes and returns its address.
+func startPeerHandler(t *testing.T, h http.Handler) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewPeerServer(http.HandlerFunc(s.ServePeer))
+	server := NewPeerServer(h)
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return l.Addr().String()
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -51,6 +51,9 @@
 	// maxPeerHeaderBytes bounds the header of another node's response, which contains that
 	// of an upstream. HTTP/2 counts 32 more bytes for each field.
 	maxPeerHeaderBytes = 1 << 20
+	// peerWindowBytes bounds what another node may send of a response that is not being
+	// read.
+	peerWindowBytes = 256 << 10
 )
 
 // HTTPPeers sends requests to other nodes over cleartext HTTP/2, which can cancel a
@@ -80,7 +83,9 @@
 			IdleConnTimeout:        peerIdleTimeout,
 			MaxResponseHeaderBytes: maxPeerHeaderBytes,
 			Protocols:              protocols,
-			HTTP2:                  &http.HTTP2Config{SendPingTimeout: peerPingInterval, PingTimeout: peerPingTimeout},
+			HTTP2: &http.HTTP2Config{
+				SendPingTimeout: peerPingInterval, PingTimeout: peerPingTimeout, MaxReceiveBufferPerStream: peerWindowBytes,
+			},
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
