Free the slot of a late long response

A call that may not be repeated continues after its caller has disconnected, but its result was dropped. The rest of a response of more than 256 KB then was neither read nor closed, so the slot at the upstream and the connection to it stayed occupied until the node restarted.

The late result is now closed.

--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -291,6 +291,8 @@
 		case r := <-done:
 			return r
 		default:
+			// The rest of a late response holds a slot until it is closed.
+			go func() { (<-done).close() }()
 			return failed(reasonCallerDisconnected, true)
 		}
 	}
--- a/pkg/relay/long_response_test.go
+++ b/pkg/relay/long_response_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -61,13 +62,43 @@
 			if err != nil || n != length {
 				t.Errorf("%d of %d bytes, error %v", n, length, err)
 			}
-			deadline := time.Now().Add(10 * time.Second)
-			for s.Running() > 0 && time.Now().Before(deadline) {
-				time.Sleep(time.Millisecond)
-			}
-			if s.Running() > 0 {
-				t.Error("the slot is not free")
-			}
+			waitUntilIdle(t, s)
 		})
 	}
 }
+
+// Guards against a slot that stays occupied for ever because the long response of a call
+// arrives after its caller has disconnected.
+func TestLateLongResponseFreesSlot(t *testing.T) {
+	running, respond := make(chan struct{}), make(chan struct{})
+	u := startUpstream(t, func(c net.Conn, r *http.Request) {
+		close(running)
+		<-respond
+		writeOK(c, r, strings.Repeat("x", 3*bodyBufferBytes))
+	})
+	s := newTestSidecar(u, 10)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-running
+		cancel()
+	}()
+	result := s.runWithin(ctx, &Call{
+		Method: http.MethodGet, URI: "/once/", Host: "h", Header: http.Header{"X-Request-Id": {"1"}}, Service: "svc", Timeout: time.Minute,
+	})
+	if result.Kind != Failed || s.Running() != 1 {
+		t.Fatalf("result %q with %d running calls, want a failed call that still runs", result.Kind, s.Running())
+	}
+	close(respond)
+	waitUntilIdle(t, s)
+}
+
+func waitUntilIdle(t *testing.T, s *Sidecar) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for s.Running() > 0 {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d slots are not free", s.Running())
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
