Send early responses although the request body stalls

A caller that stopped sending a body of more than 256 KB got no response of more than 2 KB: the handler waited for ever in http.Server, which reads the rest of a body before it sends the header of a response. The limit for that was set only after the response. The request stayed in progress, so a planned stop of the node lasted until its deadline; a response of more than 256 KB also kept its slot. The same goroutine that forwards the body could undo the limit: it was still reading when the server, which resets read deadlines of pending reads, took over.

--- a/pkg/relay/body_test.go
+++ b/pkg/relay/body_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 )
@@ -70,3 +72,38 @@
 		t.Error("the connection stays open")
 	}
 }
+
+// Guards against an early response that is never sent, because the server first waits for the
+// rest of a body that the caller does not send.
+func TestEarlyResponseDoesNotWaitForStalledBody(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	u := startUpstream(t, func(c net.Conn, r *http.Request) {
+		writeOK(c, r, strings.Repeat("x", 10<<10))
+		<-release
+	})
+	in := newTestIngress(t)
+	in.Dir, in.Sidecar = ownUpstream{}, newTestSidecar(u, 10)
+	server := httptest.NewServer(in)
+	defer server.Close()
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if err := c.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	const length = bodyBufferBytes + 100<<10
+	writeRaw(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\nContent-Length: "+strconv.Itoa(length)+"\r\n\r\n"+strings.Repeat("y", length-1))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no response: %v; %d requests in progress", err, in.Active())
+	}
+	if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != 10<<10 {
+		t.Errorf("%d bytes of the response, error %v", n, err)
+	}
+	if !serverCloses(c) {
+		t.Error("the connection is kept although its next bytes belong to the body")
+	}
+}
--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -148,6 +148,9 @@
 		return
 	}
 	result := in.forward(r.Context(), rs)
+	if rs.call.Rest != nil {
+		in.closeBody(w, r)
+	}
 	in.writeResult(w, r, rs, result)
 }
 
@@ -173,6 +176,15 @@
 	}
 }
 
+// closeBody ends the reading of a body that may still be forwarded. Otherwise the server
+// would wait without limit for its rest before it sends the response.
+func (in *Ingress) closeBody(w http.ResponseWriter, r *http.Request) {
+	in.setReadDeadline(w, r, time.Now().Add(bodyDrainTimeout))
+	// After an error the server closes the connection once it has sent the response.
+	_ = r.Body.Close()
+	in.setReadDeadline(w, r, time.Time{})
+}
+
 func (in *Ingress) setReadDeadline(w http.ResponseWriter, r *http.Request, at time.Time) {
 	if err := http.NewResponseController(w).SetReadDeadline(at); err != nil && r.Context().Err() == nil {
 		in.Events.Emit(event.AnswerNotDelivered, event.Fields{"id": r.Header.Get(in.Names.RequestID), "error": err.Error()})
