Reject requests at the end of a stop after a stall

A stopping mesh node whose process had not run until the deadline of the stop still passed requests on, as did one whose stop time is shorter than the time for which it serves its callers. It closed their connections 300 ms later: longer requests got no answer.

Only the loop that the stall skips set the time after which requests are rejected. The node now sets it in any case, and stops its upstream, before it closes the servers.

--- a/pkg/mesh/connections_test.go
+++ b/pkg/mesh/connections_test.go
@@ -194,3 +194,38 @@
 		t.Errorf("request on a connection accepted before the stop: %v", err)
 	}
 }
+
+// Guards against a stop that passes on requests which it cuts a moment later, because the
+// process stood still until the deadline.
+func TestStopPassesOnNoRequestAfterDeadline(t *testing.T) {
+	store := newMemoryStore()
+	store.publish(t, 1, "a")
+	// The deadline is earlier than the end of the time in which requests are still served.
+	a := startNode(t, newSettings(t, "a", 0), &storeClient{memoryStore: store})
+	await.Eventually(t, "the upstream is used", func() bool { return a.respondsWith("/a/", "a") })
+	a.connections.firstRequestChecks = math.MaxInt
+	conn, err := net.Dial("tcp", a.settings.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	go a.stop()
+	await.Eventually(t, "the listener is closed", func() bool {
+		c, err := net.Dial("tcp", a.settings.CallerAddress)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	})
+	if _, err := io.WriteString(conn, "GET /a/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", resp.StatusCode)
+	}
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -400,6 +400,11 @@
 		}
 		time.Sleep(stopPollInterval)
 	}
+	// A stall of the process may have used up the time.
+	if !upstreamStopped {
+		n.sidecar.Stop()
+	}
+	n.ingress.StopAt(deadline)
 	n.closeServers(deadline.Add(closeReserve / 2))
 }
 
