Keep a long error response while it may be the result

If an upstream answered a repeatable request with an error of more than 256 KB and no upstream was left for a retry, callers got the beginning of the response and their connection was closed. The ingress closed the response before it looked for another upstream, and returned it when it found none.

It now closes a result once there is another one.

--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -212,6 +212,9 @@
 		if result == nil {
 			return rs.finalResult(last)
 		}
+		if last != nil {
+			last.close()
+		}
 		rs.detail = append(rs.detail, string(result.Kind)+":"+result.Reason)
 		last = result
 		if result.Kind == Completed && (result.Status < http.StatusInternalServerError || !rs.route.Idempotent) {
@@ -223,7 +226,6 @@
 		if result.Kind == Completed && result.Rest == nil {
 			rs.errorResponse = result
 		}
-		result.close()
 	}
 }
 
--- a/pkg/relay/long_response_test.go
+++ b/pkg/relay/long_response_test.go
@@ -67,6 +67,24 @@
 	}
 }
 
+// Guards against a long error response that breaks off because no upstream is left for the
+// retry.
+func TestLongErrorResponseIsCompleteWithoutRetry(t *testing.T) {
+	const length = 3 * bodyBufferBytes
+	u := startUpstream(t, func(c net.Conn, r *http.Request) {
+		writeRaw(c, fmt.Sprintf("HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: %s\r\nX-Seal: s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("X-Request-Id"), length))
+		writeRaw(c, strings.Repeat("x", length))
+	})
+	s := newTestSidecar(u, 10)
+	in := newTestIngress(t)
+	in.Dir, in.Sidecar = ownUpstream{}, s
+	status, body, _ := call(t, in, "/safe/")
+	if status != http.StatusInternalServerError || len(body) != length {
+		t.Errorf("status %d with %d of %d bytes", status, len(body), length)
+	}
+	waitUntilIdle(t, s)
+}
+
 // Guards against a slot that stays occupied for ever because the long response of a call
 // arrives after its caller has disconnected.
 func TestLateLongResponseFreesSlot(t *testing.T) {
