Accept queued connections although the goroutine or descriptors come late

Callers were reset at a planned stop: a closing listener gave up after 100 ms without an Accept and took every error of accept for an empty queue, so a goroutine that ran later, or a moment without a free descriptor, reset the connections in the queue.

Close now waits up to 1 s, and only EAGAIN means that the queue is empty; other errors are retried until then. The node closes the listeners of its other servers before their Close, which holds the lock that Accept needs.

--- a/pkg/drain/listener.go
+++ b/pkg/drain/listener.go
@@ -11,8 +11,14 @@
 	"time"
 )
 
-// closeTimeout bounds Close if no goroutine calls Accept.
-const closeTimeout = 100 * time.Millisecond
+const (
+	// closeTimeout bounds Close if no goroutine calls Accept, and the attempts to accept a
+	// queued connection.
+	closeTimeout = time.Second
+	// acceptRetryDelay is the pause after a failed attempt, such as without a free
+	// descriptor.
+	acceptRetryDelay = 5 * time.Millisecond
+)
 
 // Listener accepts the connections in the kernel's accept queue before it closes.
 // When a socket is closed, the kernel resets the connections in its queue, and
@@ -47,10 +53,38 @@
 	return c, nil
 }
 
-// acceptQueued returns the next connection of the accept queue, or an error if the queue
-// is empty. Accept with a deadline would not do: it fails without a look at the queue if
-// the goroutine runs after the deadline.
+// acceptQueued returns the next connection of the accept queue. It returns an error if the
+// queue is empty or cannot be read until Close gives up.
 func (l *Listener) acceptQueued() (net.Conn, error) {
+	f, err := l.acceptFile()
+	for err != nil && !errors.Is(err, syscall.EAGAIN) && l.pause() {
+		f, err = l.acceptFile()
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	for {
+		c, err := net.FileConn(f)
+		if err == nil || !l.pause() {
+			return c, err
+		}
+	}
+}
+
+// pause waits for acceptRetryDelay. It reports whether the socket is still open.
+func (l *Listener) pause() bool {
+	select {
+	case <-l.closed:
+		return false
+	case <-time.After(acceptRetryDelay):
+		return true
+	}
+}
+
+// acceptFile accepts a connection without waiting for one. Accept with a deadline would not
+// do: it fails without a look at the queue if the goroutine runs after the deadline.
+func (l *Listener) acceptFile() (*os.File, error) {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return nil, err
@@ -58,22 +92,14 @@
 	var fd int
 	var acceptErr error
 	if err := raw.Control(func(listener uintptr) {
-		for {
-			fd, _, acceptErr = syscall.Accept4(int(listener), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-			// The caller may have aborted a connection in the queue.
-			if !errors.Is(acceptErr, syscall.EINTR) && !errors.Is(acceptErr, syscall.ECONNABORTED) {
-				return
-			}
-		}
+		fd, _, acceptErr = syscall.Accept4(int(listener), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 	}); err != nil {
 		return nil, err
 	}
 	if acceptErr != nil {
 		return nil, os.NewSyscallError("accept4", acceptErr)
 	}
-	f := os.NewFile(uintptr(fd), "")
-	defer f.Close()
-	return net.FileConn(f)
+	return os.NewFile(uintptr(fd), ""), nil
 }
 
 func (l *Listener) closeSocket() {
--- a/pkg/drain/listener_test.go
+++ b/pkg/drain/listener_test.go
@@ -101,3 +101,32 @@
 		t.Errorf("%d of %d queued connections accepted", accepted, queued)
 	}
 }
+
+// Guards against a listener that resets its queue because the accepting goroutine runs late.
+func TestCloseServesQueuedConnectionsOfLateGoroutine(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := NewListener(tcp.(*net.TCPListener))
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_ = l.Close()
+	}()
+	time.Sleep(200 * time.Millisecond)
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatalf("the queued connection was not accepted: %v", err)
+	}
+	defer accepted.Close()
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("Accept returned %v, want net.ErrClosed", err)
+	}
+	<-closed
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -418,7 +418,9 @@
 		n.deps.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error(), "during": "stop", "active": n.ingress.Active()})
 	}
 	n.connections.markAllClosed(relay.ClosedByStop)
-	for _, s := range n.servers {
+	for i, s := range n.servers {
+		// The listener needs the server's lock, which Close holds, to close without delay.
+		_ = n.listeners[i].Close()
 		if err := s.Close(); err != nil {
 			n.deps.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error(), "during": "stop"})
 		}
