Wait for the log lines of requests that a stop aborts

A request that a planned stop aborts has a line 1406, which was missing in 2 of 10 stops: the process ended before the handler had logged it. The node now waits for its handlers, at most 0.1 s, once it has closed the connections.

--- a/pkg/mesh/connections.go
+++ b/pkg/mesh/connections.go
@@ -39,7 +39,7 @@
 	log relay.Connection
 	// used is set once a request was read.
 	used bool
-	// checks is the number of checks without a first request while the node stops.
+	// checks is the number of checks since the node began to close connections.
 	checks int
 	// idleTimer ends the connection; nil while it has a request.
 	idleTimer *time.Timer
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -38,6 +38,9 @@
 	closeReserve = 600 * time.Millisecond
 	// stopPollInterval is how often a stopping node checks whether all requests are done.
 	stopPollInterval = 20 * time.Millisecond
+	// handlerChecks is for how many checks, stopPollInterval apart, a stopping node waits for
+	// the handlers of requests that it has aborted.
+	handlerChecks = 5
 	// dropReportInterval is how often dropped log lines are reported.
 	dropReportInterval = 5 * time.Second
 )
@@ -425,4 +428,15 @@
 			n.deps.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error(), "during": "stop"})
 		}
 	}
+	n.awaitHandlers()
+}
+
+// awaitHandlers waits until the handlers of aborted requests have logged them.
+func (n *Node) awaitHandlers() {
+	for range handlerChecks {
+		if n.ingress.Active() == 0 {
+			return
+		}
+		time.Sleep(stopPollInterval)
+	}
 }
