Log when the store was restored from an earlier copy

The log of a node did not show that the store went on from an earlier copy: a change that was never read after a restore looked like one that was never published. The store numbers its histories in a header of all responses. Positions now carry that number, and a node logs event 1108 with the old and the new number when it sees a newer one.

What is read, and when, does not change.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -22,6 +22,7 @@
 	CheckpointFailed = Event{1105, log.WarnLevel, "checkpoint not written"}
 	LogReset         = Event{1106, log.ErrorLevel, "platform log ends before the applied offset"}
 	LogGap           = Event{1107, log.WarnLevel, "platform log no longer keeps the next record"}
+	LogReplaced      = Event{1108, log.WarnLevel, "platform log was restored from an earlier copy"}
 )
 
 // Events of the membership, 1200 to 1299.
--- a/pkg/mesh/config.go
+++ b/pkg/mesh/config.go
@@ -49,6 +49,7 @@
 	notifyPeers func()
 	// readerRole returns this node's turn and whether it is a store reader.
 	readerRole func() (readTurn, bool)
+	history    *storeHistory
 
 	mu               sync.Mutex
 	current          *route.Table
@@ -95,7 +96,7 @@
 func (w *configWatcher) run(ctx context.Context) {
 	// changed is set if the last read returned a change: the reads of the other store
 	// readers have probably ended at the same time.
-	positionKnown, changed, position := false, true, int64(0)
+	positionKnown, changed, position := false, true, Position{}
 	pause, start := minRetryDelay, time.Now()
 	// The store readers are known only after the first statuses of the other nodes.
 	if !sleep(ctx, firstStatusWait) {
@@ -151,9 +152,9 @@
 
 // read makes one call to the store and returns the next position. If the position is
 // known, the call waits for a change.
-func (w *configWatcher) read(ctx context.Context, positionKnown bool, position int64, wait time.Duration) (int64, error) {
+func (w *configWatcher) read(ctx context.Context, positionKnown bool, position Position, wait time.Duration) (Position, error) {
 	var encoded []byte
-	var next int64
+	var next Position
 	var err error
 	if positionKnown {
 		ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
@@ -165,8 +166,9 @@
 		encoded, next, err = w.configs.Newest(ctx)
 	}
 	if err != nil {
-		return 0, err
+		return Position{}, err
 	}
+	w.history.observe(next.History)
 	if encoded != nil && w.installIfNewer(encoded, "store") {
 		w.notifyPeers()
 	}
--- a/pkg/mesh/helper_test.go
+++ b/pkg/mesh/helper_test.go
@@ -27,6 +27,7 @@
 type memoryStore struct {
 	mu        sync.Mutex
 	encoded   []byte
+	history   uint64
 	position  int64
 	changed   chan struct{}
 	addresses []string
@@ -79,20 +80,20 @@
 	return nil
 }
 
-func (c *storeClient) Newest(context.Context) ([]byte, int64, error) {
+func (c *storeClient) Newest(context.Context) ([]byte, Position, error) {
 	if err := c.err(); err != nil {
-		return nil, 0, err
+		return nil, Position{}, err
 	}
 	s := c.memoryStore
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	return s.encoded, s.position, nil
+	return s.encoded, Position{s.history, s.position}, nil
 }
 
-func (c *storeClient) Changes(ctx context.Context, position int64, wait time.Duration) ([]byte, int64, error) {
+func (c *storeClient) Changes(ctx context.Context, position Position, wait time.Duration) ([]byte, Position, error) {
 	if err := c.err(); err != nil {
-		return nil, 0, err
+		return nil, Position{}, err
 	}
 	s := c.memoryStore
 	s.mu.Lock()
@@ -101,12 +102,12 @@
 	if s.ignoreChanges {
 		changed = nil
 	}
-	behind := position < s.position
+	behind := position.Offset < s.position
 	s.mu.Unlock()
 	if !behind {
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, Position{}, ctx.Err()
 		case <-time.After(wait):
 			return nil, position, nil
 		case <-changed:
@@ -114,7 +115,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.encoded, s.position, nil
+	return s.encoded, Position{s.history, s.position}, nil
 }
 
 func (c *storeClient) Decode(encoded []byte) (*route.Table, error) {
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -70,6 +70,7 @@
 	ingress *relay.Ingress
 	peers   *relay.HTTPPeers
 	watcher *configWatcher
+	history *storeHistory
 	fetcher *fetcher
 	configs *configServer
 	// connections are those of the callers.
@@ -116,7 +117,10 @@
 		Names: d.Names, Service: s.Service, Dir: n.dir, Peers: n.peers, Sidecar: n.sidecar, Events: d.Events, Metrics: n.metrics,
 	}
 	n.ingress.Provision()
-	n.watcher = &configWatcher{configs: d.Configs, events: d.Events, install: n.install, notifyPeers: n.gossip.requestSendToAll, readerRole: n.dir.storeReader}
+	n.history = &storeHistory{events: d.Events}
+	n.watcher = &configWatcher{
+		configs: d.Configs, events: d.Events, install: n.install, notifyPeers: n.gossip.requestSendToAll, readerRole: n.dir.storeReader, history: n.history,
+	}
 	n.fetcher = newFetcher(n.watcher, n.dir, n.peers, d.Events)
 	n.configs = newConfigServer(n.ingress.Table, d.Events)
 	n.registerGauges()
--- a/pkg/mesh/stores.go
+++ b/pkg/mesh/stores.go
@@ -16,15 +16,24 @@
 // configuration must be read instead.
 var ErrHistoryExpired = errors.New("configuration changes after the position are no longer stored")
 
+// Position is a place among the changes of the configuration.
+type Position struct {
+	// History identifies the history of the store to which the offset belongs, or is 0 if
+	// the store doesn't number its histories. A store that is restored from an earlier copy
+	// starts the next history and assigns the offsets after the copy again.
+	History uint64
+	Offset  int64
+}
+
 // Configs is the store in which operators publish the routing configuration.
 type Configs interface {
 	// Newest returns the newest configuration, or nil if there is none, and its position,
 	// from which Changes continues.
-	Newest(ctx context.Context) (encoded []byte, position int64, err error)
+	Newest(ctx context.Context) (encoded []byte, position Position, err error)
 	// Changes waits for changes after the position. It returns the last change, or nil if
 	// there is none, and the next position. It fails with ErrHistoryExpired if changes after
 	// the position are no longer stored.
-	Changes(ctx context.Context, position int64, wait time.Duration) (encoded []byte, next int64, err error)
+	Changes(ctx context.Context, position Position, wait time.Duration) (encoded []byte, next Position, err error)
 	// Decode returns the routing table of an encoded configuration.
 	Decode(encoded []byte) (*route.Table, error)
 }
--- a/pkg/standalone/routes.go
+++ b/pkg/standalone/routes.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.yaml.in/yaml/v3"
 
+	"github.com/mulberrytray/mulberrytray/pkg/mesh"
 	"github.com/mulberrytray/mulberrytray/pkg/route"
 )
 
@@ -91,25 +92,25 @@
 }
 
 // Newest returns the content of the file. The position is the hash of the content.
-func (r RoutesFile) Newest(context.Context) ([]byte, int64, error) {
+func (r RoutesFile) Newest(context.Context) ([]byte, mesh.Position, error) {
 	if r.Path == "" {
-		return nil, 0, nil
+		return nil, mesh.Position{}, nil
 	}
 	b, err := os.ReadFile(r.Path)
 	if err != nil {
-		return nil, 0, fmt.Errorf("%w: %w", ErrRoutes, err)
+		return nil, mesh.Position{}, fmt.Errorf("%w: %w", ErrRoutes, err)
 	}
-	return b, int64(xxhash.Sum64(b)), nil
+	return b, mesh.Position{Offset: int64(xxhash.Sum64(b))}, nil
 }
 
 // Changes polls the file until the hash of its content differs from the position or the
 // wait ends.
-func (r RoutesFile) Changes(ctx context.Context, position int64, wait time.Duration) ([]byte, int64, error) {
+func (r RoutesFile) Changes(ctx context.Context, position mesh.Position, wait time.Duration) ([]byte, mesh.Position, error) {
 	deadline := time.Now().Add(wait)
 	for {
 		b, next, err := r.Newest(ctx)
 		if err != nil {
-			return nil, 0, err
+			return nil, mesh.Position{}, err
 		}
 		if next != position {
 			return b, next, nil
@@ -119,7 +120,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, fmt.Errorf("wait for a change of routes file %s: %w", r.Path, ctx.Err())
+			return nil, mesh.Position{}, fmt.Errorf("wait for a change of routes file %s: %w", r.Path, ctx.Err())
 		case <-time.After(pollPeriod):
 		}
 	}
