Drop positions of an earlier history of the store

A restored store assigns the offsets after the copy again. A node kept the offset at which it waited, so a change that had got a lower offset before the node's next read was below the position and never read. The store rejects only positions beyond its end.

A failed read drops the position as well, since the store may have lost changes while it was away.

--- a/pkg/mesh/config.go
+++ b/pkg/mesh/config.go
@@ -96,8 +96,9 @@
 func (w *configWatcher) run(ctx context.Context) {
 	// changed is set if the last read returned a change: the reads of the other store
 	// readers have probably ended at the same time.
-	positionKnown, changed, position := false, true, Position{}
-	pause, start := minRetryDelay, time.Now()
+	changed, start := true, time.Now()
+	var position *Position
+	retryDelay := minRetryDelay
 	// The store readers are known only after the first statuses of the other nodes.
 	if !sleep(ctx, firstStatusWait) {
 		return
@@ -109,28 +110,26 @@
 				return
 			}
 			// The position is outdated: other nodes may have read changes in the meantime.
-			positionKnown = false
+			position = nil
 			continue
 		}
-		next, err := w.read(ctx, positionKnown, position, turn.wait(changed))
-		switch {
-		case err == nil:
-			changed = !positionKnown || next != position
-			positionKnown, position = true, next
-			pause = minReadInterval
-		case errors.Is(err, ErrHistoryExpired):
-			positionKnown = false
-			continue
-		default:
-			pause = min(maxRetryDelay, max(minRetryDelay, pause*2))
+		next, err := w.read(ctx, position, turn.wait(changed))
+		pause := minReadInterval
+		if err != nil {
+			// The store may have lost changes before the position while it was away.
+			position = nil
+			pause, retryDelay = retryDelay, min(maxRetryDelay, retryDelay*2)
+		} else {
+			changed = position == nil || next != *position
+			position, retryDelay = &next, minRetryDelay
+		}
+		if errors.Is(err, ErrHistoryExpired) {
+			err = nil
 		}
 		w.logStoreState(err)
 		if !sleep(ctx, pause) {
 			return
 		}
-		if err == nil {
-			pause = minRetryDelay
-		}
 	}
 }
 
@@ -150,16 +149,16 @@
 	return time.Duration(turns)*fleetReadInterval - minReadInterval
 }
 
-// read makes one call to the store and returns the next position. If the position is
-// known, the call waits for a change.
-func (w *configWatcher) read(ctx context.Context, positionKnown bool, position Position, wait time.Duration) (Position, error) {
+// read makes one call to the store and returns the next position. If there is a position, the
+// call waits for a change.
+func (w *configWatcher) read(ctx context.Context, position *Position, wait time.Duration) (Position, error) {
 	var encoded []byte
 	var next Position
 	var err error
-	if positionKnown {
+	if position != nil {
 		ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
 		defer cancel()
-		encoded, next, err = w.configs.Changes(ctx, position, wait)
+		encoded, next, err = w.configs.Changes(ctx, *position, wait)
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
--- a/pkg/mesh/config_test.go
+++ b/pkg/mesh/config_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/mulberrytray/mulberrytray/internal/await"
 )
 
 // The store doesn't end waiting reads when there is a change, and the previous change has
@@ -62,3 +64,40 @@
 		}
 	}
 }
+
+// Guards against reads without a pause while the store rejects all of them.
+func TestRejectedReadsArePaused(t *testing.T) {
+	store := newMemoryStore()
+	store.publish(t, 1, "a")
+	store.expired = true
+	start := time.Now()
+	n := startNode(t, newSettings(t, "a", 0), &storeClient{memoryStore: store})
+	time.Sleep(time.Second)
+	store.mu.Lock()
+	reads, elapsed := store.reads, time.Since(start)
+	store.mu.Unlock()
+	if limit := 1 + int(elapsed/minRetryDelay); reads > limit {
+		t.Errorf("%d reads in %v, want at most %d", reads, elapsed, limit)
+	}
+	if n.watcher.isStoreUnreachable() {
+		t.Error("the store counts as unreachable")
+	}
+}
+
+// Guards against a position that is kept while the store is away, and may have lost the changes
+// before it when it is back.
+func TestPositionIsNotKeptAfterFailedReads(t *testing.T) {
+	store := newMemoryStore()
+	store.publish(t, 1, "a")
+	client := &storeClient{memoryStore: store}
+	n := startNode(t, newSettings(t, "a", 0), client)
+	await.Eventually(t, "version 1", func() bool { return n.watcher.version() == 1 })
+	client.setDown(true)
+	await.Eventually(t, "the store is away", n.watcher.isStoreUnreachable)
+	store.publish(t, 2, "a")
+	store.mu.Lock()
+	store.position--
+	store.mu.Unlock()
+	client.setDown(false)
+	await.Eventually(t, "version 2", func() bool { return n.watcher.version() == 2 })
+}
--- a/pkg/mesh/helper_test.go
+++ b/pkg/mesh/helper_test.go
@@ -34,6 +34,8 @@
 	reads     int
 	// ignoreChanges makes waiting reads end only at their time limit, not on a change.
 	ignoreChanges bool
+	// expired makes all reads fail as if the history was no longer stored.
+	expired bool
 }
 
 func newMemoryStore() *memoryStore { return &memoryStore{changed: make(chan struct{})} }
@@ -88,6 +90,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
+	if s.expired {
+		return nil, Position{}, ErrHistoryExpired
+	}
 	return s.encoded, Position{s.history, s.position}, nil
 }
 
@@ -98,6 +103,10 @@
 	s := c.memoryStore
 	s.mu.Lock()
 	s.reads++
+	if s.expired {
+		s.mu.Unlock()
+		return nil, Position{}, ErrHistoryExpired
+	}
 	changed := s.changed
 	if s.ignoreChanges {
 		changed = nil
--- a/pkg/mesh/stores.go
+++ b/pkg/mesh/stores.go
@@ -12,9 +12,10 @@
 	"github.com/mulberrytray/mulberrytray/pkg/route"
 )
 
-// ErrHistoryExpired means that the changes after a position are no longer stored. The newest
-// configuration must be read instead.
-var ErrHistoryExpired = errors.New("configuration changes after the position are no longer stored")
+// ErrHistoryExpired means that the changes after a position can't be read: they are no longer
+// stored, or the position belongs to an earlier history of the store. The newest configuration
+// must be read instead.
+var ErrHistoryExpired = errors.New("configuration changes after the position are not stored")
 
 // Position is a place among the changes of the configuration.
 type Position struct {
@@ -30,9 +31,10 @@
 	// Newest returns the newest configuration, or nil if there is none, and its position,
 	// from which Changes continues.
 	Newest(ctx context.Context) (encoded []byte, position Position, err error)
-	// Changes waits for changes after the position. It returns the last change, or nil if
-	// there is none, and the next position. It fails with ErrHistoryExpired if changes after
-	// the position are no longer stored.
+	// Changes waits for changes after the position. It returns the change with the highest
+	// version, or nil if there is none, and the next position. It fails with
+	// ErrHistoryExpired if changes after the position are no longer stored or the position
+	// belongs to another history.
 	Changes(ctx context.Context, position Position, wait time.Duration) (encoded []byte, next Position, err error)
 	// Decode returns the routing table of an encoded configuration.
 	Decode(encoded []byte) (*route.Table, error)
