Register nodes again after the store was restored

A node that started after the store was restored from an earlier copy found none of the nodes that had registered since the copy was made, and they did not find it: its callers got 503 for the services of the others.

A node wrote its address once, at its start. A registration that is newer than the copy was lost for good, since nobody wrote it again; only nodes that knew each other before went on.

The store's responses to registrations and to reads of the addresses now carry its history, and each status carries the newest history that its sender has read, so that nodes that don't read the store learn of a restore as well.

The history follows the array of a status: nodes of the earlier version reject arrays of another length and ignore what follows, so both read each other.

--- a/pkg/mesh/config.go
+++ b/pkg/mesh/config.go
@@ -167,7 +167,7 @@
 	if err != nil {
 		return Position{}, err
 	}
-	w.history.observe(next.History)
+	w.history.observeRead(next.History)
 	if encoded != nil && w.installIfNewer(encoded, "store") {
 		w.notifyPeers()
 	}
--- a/pkg/mesh/gossip.go
+++ b/pkg/mesh/gossip.go
@@ -37,7 +37,7 @@
 	minStatusGap = 5 * time.Millisecond
 	// invalidLogInterval is the minimum time between two events on invalid statuses.
 	invalidLogInterval = 10 * time.Second
-	// statusFieldCount is the number of fields of an encoded status.
+	// statusFieldCount is the number of fields in the array of an encoded status.
 	statusFieldCount = 11
 	// never is earlier than all other times of the directory's clock.
 	never = -time.Hour
@@ -324,6 +324,9 @@
 	if err := e.Encode(&s); err != nil {
 		return nil, fmt.Errorf("encode status: %w", err)
 	}
+	if err := e.EncodeUint(s.StoreHistory); err != nil {
+		return nil, fmt.Errorf("encode status: %w", err)
+	}
 	return b.Bytes(), nil
 }
 
@@ -349,6 +352,11 @@
 	if err := d.Decode(&s.ReceiverIncarnation); err != nil {
 		return s, fmt.Errorf("decode status: %w", err)
 	}
+	if r.Len() > 0 {
+		if s.StoreHistory, err = d.DecodeUint64(); err != nil {
+			return s, fmt.Errorf("decode status: %w", err)
+		}
+	}
 	if r.Len() > 0 {
 		return s, fmt.Errorf("%w: %d bytes follow it", roster.ErrInvalid, r.Len())
 	}
--- a/pkg/mesh/gossip_test.go
+++ b/pkg/mesh/gossip_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/roster"
 	"github.com/mulberrytray/mulberrytray/pkg/suspect"
@@ -70,6 +72,40 @@
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v, %v", got, err)
 	}
+	// Nodes of the version before StoreHistory and of this one read each other's statuses.
+	type earlierStatus struct {
+		Address             string
+		Incarnation         int64
+		Sequence            uint64
+		Phase               roster.Phase
+		Domain, Service     string
+		ConfigVersion       uint64
+		StoreUnavailable    bool
+		Upstream            roster.Upstream
+		Suspects            []suspect.Entry
+		ReceiverIncarnation int64
+	}
+	want.ReceiverIncarnation, want.StoreHistory = 3, 12
+	if b, err = encodeStatus(want); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := decodeStatus(b); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, %v; want %+v", got, err, want)
+	}
+	var earlier earlierStatus
+	if err := msgpack.Unmarshal(b, &earlier); err != nil || earlier.ReceiverIncarnation != 3 || earlier.Upstream != want.Upstream {
+		t.Errorf("decoded by the earlier version: %+v, %v", earlier, err)
+	}
+	var encoded bytes.Buffer
+	e := msgpack.NewEncoder(&encoded)
+	e.UseArrayEncodedStructs(true)
+	if err := e.Encode(&earlier); err != nil {
+		t.Fatal(err)
+	}
+	want.StoreHistory = 0
+	if got, err := decodeStatus(encoded.Bytes()); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("status of the earlier version: %+v, %v", got, err)
+	}
 	for _, bad := range []string{"", "x", "\xff\xff", string(b[:10]), string(b) + "x"} {
 		if _, err := decodeStatus([]byte(bad)); err == nil {
 			t.Errorf("%q was decoded", bad)
--- a/pkg/mesh/helper_test.go
+++ b/pkg/mesh/helper_test.go
@@ -32,6 +32,10 @@
 	changed   chan struct{}
 	addresses []string
 	reads     int
+	// registrations and lists count the calls of Register and Addresses.
+	registrations, lists int
+	// restoreAfterRegister, if set, is called after an address was added, with the lock held.
+	restoreAfterRegister func()
 	// ignoreChanges makes waiting reads end only at their time limit, not on a change.
 	ignoreChanges bool
 	// expired makes all reads fail as if the history was no longer stored.
@@ -148,15 +152,20 @@
 	return t, err
 }
 
-func (c *storeClient) Register(_ context.Context, address string) error {
+func (c *storeClient) Register(_ context.Context, address string) (uint64, error) {
 	if err := c.err(); err != nil {
-		return err
+		return 0, err
 	}
 	s := c.memoryStore
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.addresses = append(s.addresses, address)
-	return nil
+	s.registrations++
+	history := s.history
+	if s.restoreAfterRegister != nil {
+		s.restoreAfterRegister()
+	}
+	return history, nil
 }
 
 func (c *storeClient) Unregister(_ context.Context, address string) error {
@@ -170,14 +179,15 @@
 	return nil
 }
 
-func (c *storeClient) Addresses(context.Context) ([]string, error) {
+func (c *storeClient) Addresses(context.Context) ([]string, uint64, error) {
 	if err := c.err(); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	s := c.memoryStore
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]string(nil), s.addresses...), nil
+	s.lists++
+	return append([]string(nil), s.addresses...), s.history, nil
 }
 
 var testNames = relay.HeaderNames{
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -1,13 +1,11 @@
 package mesh
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -117,7 +115,7 @@
 		Names: d.Names, Service: s.Service, Dir: n.dir, Peers: n.peers, Sidecar: n.sidecar, Events: d.Events, Metrics: n.metrics,
 	}
 	n.ingress.Provision()
-	n.history = &storeHistory{events: d.Events}
+	n.history = newStoreHistory(d.Events)
 	n.watcher = &configWatcher{
 		configs: d.Configs, events: d.Events, install: n.install, notifyPeers: n.gossip.requestSendToAll, readerRole: n.dir.storeReader, history: n.history,
 	}
@@ -229,11 +227,13 @@
 	return roster.Status{
 		Address: n.settings.PeerAddress, Phase: phase, Domain: n.settings.Domain, Service: n.settings.Service,
 		ConfigVersion: n.watcher.version(), StoreUnavailable: n.watcher.isStoreUnreachable(), Upstream: n.sidecar.UpstreamState(), Suspects: n.sidecar.Suspects(),
+		StoreHistory: n.history.lastRead(),
 	}
 }
 
 // handleStatus processes a status of another node: it passes the suspects to the sidecar,
-// logs changes of the membership and requests a newer configuration.
+// logs changes of the membership, records the
+// store's history and requests a newer configuration.
 func (n *Node) handleStatus(s roster.Status, change roster.Change) {
 	fields := event.Fields{
 		"member": s.Address, "incarnation": s.Incarnation, "sequence": s.Sequence, "service": s.Service, "phase": int(s.Phase),
@@ -248,6 +248,7 @@
 	case roster.StateChanged:
 		n.deps.Events.Emit(event.MemberAltered, fields)
 	}
+	n.history.observeReport(s.StoreHistory, s.Address)
 	if s.ConfigVersion > n.watcher.version() {
 		n.fetcher.request()
 	}
@@ -301,76 +302,6 @@
 	return true, "serving"
 }
 
-// register adds the node's address to the registry and reads the other nodes' addresses.
-// It retries until it succeeds or the context ends.
-func (n *Node) register(ctx context.Context) {
-	pause := minRetryDelay
-	for {
-		err := n.registerOnce(ctx)
-		if err == nil {
-			return
-		}
-		n.deps.Events.Emit(event.LogUnreachable, event.Fields{"error": err.Error(), "call": "register"})
-		if !sleep(ctx, pause) {
-			return
-		}
-		pause = min(maxRetryDelay, pause*2)
-	}
-}
-
-func (n *Node) registerOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
-	defer cancel()
-	registered, err := n.registerAndList(ctx)
-	if err != nil {
-		return err
-	}
-	addresses := n.validAddresses(registered)
-	n.dir.mu.Lock()
-	for _, a := range addresses {
-		n.dir.roster.Add(n.dir.now(), a)
-	}
-	n.dir.mu.Unlock()
-	n.deps.Events.Emit(event.NodeRegistered, event.Fields{"known": len(addresses)})
-	n.gossip.announce()
-	return nil
-}
-
-// validAddresses returns the addresses of nodes among the registered ones. Another writer may
-// have added others; one event reports them.
-func (n *Node) validAddresses(registered []string) []string {
-	var valid []string
-	var firstErr error
-	for _, a := range registered {
-		if err := roster.ValidateAddress(a); err != nil {
-			firstErr = cmp.Or(firstErr, err)
-			continue
-		}
-		valid = append(valid, a)
-	}
-	if firstErr != nil {
-		n.deps.Events.Emit(event.RecordInvalid, event.Fields{"count": len(registered) - len(valid), "error": firstErr.Error()})
-	}
-	return valid
-}
-
-// registerAndList registers the node's address unless it is registered already, and returns
-// all registered addresses. Addresses stay registered when their node stops, so that a node
-// that restarts doesn't need to register again. A new node registers before it reads: if two
-// nodes start at the same time, the later one reads the other's address.
-func (n *Node) registerAndList(ctx context.Context) ([]string, error) {
-	if !n.settings.FirstStart {
-		addresses, err := n.deps.Registry.Addresses(ctx)
-		if err != nil || slices.Contains(addresses, n.settings.PeerAddress) {
-			return addresses, err
-		}
-	}
-	if err := n.deps.Registry.Register(ctx, n.settings.PeerAddress); err != nil {
-		return nil, err
-	}
-	return n.deps.Registry.Addresses(ctx)
-}
-
 // reportDrops logs how many log lines were dropped since the last report.
 func (n *Node) reportDrops(ctx context.Context) {
 	last := int64(0)
--- a/pkg/mesh/silent_test.go
+++ b/pkg/mesh/silent_test.go
@@ -94,7 +94,7 @@
 	store := newMemoryStore()
 	n := &Node{gossip: g, dir: g.dir, deps: Dependencies{Registry: &storeClient{memoryStore: store}, Events: event.Discard()}}
 	for _, address := range []string{"127.0.0.1:2", "127.0.0.1:3"} {
-		if err := n.deps.Registry.Register(context.Background(), address); err != nil {
+		if _, err := n.deps.Registry.Register(context.Background(), address); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -102,7 +102,7 @@
 	defer cancel()
 	go n.unregister(ctx)
 	await.Eventually(t, "the address is removed from the registry", func() bool {
-		left, err := n.deps.Registry.Addresses(ctx)
+		left, _, err := n.deps.Registry.Addresses(ctx)
 		return err == nil && slices.Equal(left, []string{"127.0.0.1:3"})
 	})
 }
--- a/pkg/mesh/stores.go
+++ b/pkg/mesh/stores.go
@@ -42,10 +42,12 @@
 
 // Registry stores the addresses of nodes for nodes that start later.
 type Registry interface {
-	// Register adds an address.
-	Register(ctx context.Context, address string) error
+	// Register adds an address. It returns the history of the store in which it did so, as in
+	// Position.
+	Register(ctx context.Context, address string) (history uint64, err error)
 	// Unregister removes an address.
 	Unregister(ctx context.Context, address string) error
-	// Addresses returns all registered addresses.
-	Addresses(ctx context.Context) ([]string, error)
+	// Addresses returns all registered addresses and the history of the store that contains
+	// them.
+	Addresses(ctx context.Context) (addresses []string, history uint64, err error)
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -64,6 +64,9 @@
 	// ReceiverIncarnation is the latest incarnation of the receiver that the sender
 	// has seen, or 0.
 	ReceiverIncarnation int64
+	// StoreHistory is the newest history of the store that the node has read, or 0. It follows
+	// the array, because earlier versions reject arrays of another length.
+	StoreHistory uint64 `msgpack:"-"`
 }
 
 // Member is a node with its latest status and local information on it.
--- a/pkg/standalone/standalone.go
+++ b/pkg/standalone/standalone.go
@@ -32,10 +32,10 @@
 type Peers []string
 
 // Register does nothing: the addresses come from settings.
-func (Peers) Register(context.Context, string) error { return nil }
+func (Peers) Register(context.Context, string) (uint64, error) { return 0, nil }
 
 // Unregister does nothing: the addresses come from settings.
 func (Peers) Unregister(context.Context, string) error { return nil }
 
 // Addresses returns the addresses from settings.
-func (p Peers) Addresses(context.Context) ([]string, error) { return p, nil }
+func (p Peers) Addresses(context.Context) ([]string, uint64, error) { return p, 0, nil }
