--- /dev/null
+++ b/pkg/mesh/status.go
@@ -0,0 +1,85 @@
+package mesh
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/mulberrytray/mulberrytray/pkg/roster"
+	"github.com/mulberrytray/mulberrytray/pkg/suspect"
+)
+
+// statusFieldCount is the number of fields in the array of an encoded status.
+const statusFieldCount = 11
+
+// encodeStatus encodes a status as an array of statusFieldCount fields, which StoreHistory
+// follows.
+func encodeStatus(s roster.Status) ([]byte, error) {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseArrayEncodedStructs(true)
+	e.UseCompactInts(true)
+	if err := e.Encode(&s); err != nil {
+		return nil, fmt.Errorf("encode status: %w", err)
+	}
+	if err := e.EncodeUint(s.StoreHistory); err != nil {
+		return nil, fmt.Errorf("encode status: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+// decodeStatus decodes and checks a status that fills the datagram.
+func decodeStatus(b []byte) (roster.Status, error) {
+	var s roster.Status
+	r := bytes.NewReader(b)
+	d := msgpack.NewDecoder(r)
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return s, fmt.Errorf("decode status: %w", err)
+	}
+	if n != statusFieldCount {
+		return s, fmt.Errorf("%w: %d fields", roster.ErrInvalid, n)
+	}
+	err = d.DecodeMulti(&s.Address, &s.Incarnation, &s.Sequence, &s.Phase, &s.Domain, &s.Service, &s.ConfigVersion, &s.StoreUnavailable, &s.Upstream)
+	if err != nil {
+		return s, fmt.Errorf("decode status: %w", err)
+	}
+	if s.Suspects, err = decodeSuspects(d, r); err != nil {
+		return s, err
+	}
+	if err := d.Decode(&s.ReceiverIncarnation); err != nil {
+		return s, fmt.Errorf("decode status: %w", err)
+	}
+	if r.Len() > 0 {
+		if s.StoreHistory, err = d.DecodeUint64(); err != nil {
+			return s, fmt.Errorf("decode status: %w", err)
+		}
+	}
+	if r.Len() > 0 {
+		return s, fmt.Errorf("%w: %d bytes follow it", roster.ErrInvalid, r.Len())
+	}
+	return s, s.Validate(time.Now())
+}
+
+// decodeSuspects decodes the list of suspects from the decoder, which reads from r. It checks
+// the length first, because the decoder allocates lists in their full length.
+func decodeSuspects(d *msgpack.Decoder, r *bytes.Reader) ([]suspect.Entry, error) {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return nil, fmt.Errorf("decode suspects: %w", err)
+	}
+	if n > r.Len() {
+		return nil, fmt.Errorf("%w: %d suspects in %d bytes", roster.ErrInvalid, n, r.Len())
+	}
+	var list []suspect.Entry
+	for range n {
+		var e suspect.Entry
+		if err := d.Decode(&e); err != nil {
+			return nil, fmt.Errorf("decode suspects: %w", err)
+		}
+		list = append(list, e)
+	}
+	return list, nil
+}
