Leave responses to other nodes time at the end of a stop

A stopping node used to call Shutdown twice, 20 ms apart, before it closed the connections of other nodes; since it no longer does, it closed them at once when no caller was connected, perhaps before a response had been sent. The node waits 40 ms again.

--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -356,6 +356,8 @@
 		n.deps.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error(), "during": "stop", "active": n.ingress.Active()})
 	}
 	n.connections.markAllClosed(relay.ClosedByStop)
+	// Responses to other nodes may still be on their way.
+	time.Sleep(2 * stopPollInterval)
 	for i, s := range n.servers {
 		// The listener needs the server's lock, which Close holds, to close without delay.
 		_ = n.listeners[i].Close()
