Keep idle connections whose next request waits to be read

A stopping node, and one whose idle limit ended, reset callers whose request had arrived but was not read yet: the read deadline ends a read even if bytes wait. The request was not passed on.

The node now looks at the receive buffer first and leaves a connection with unread bytes to the server. The check is that of pkg/exchange, moved to pkg/recvbuf; it no longer waits for a goroutine that reads.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -24,6 +24,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/recvbuf"
 )
 
 // Errors of an exchange.
@@ -186,7 +188,7 @@
 		if cn == nil {
 			break
 		}
-		if isIdle(cn.Conn) && cn.r.Buffered() == 0 {
+		if recvbuf.Check(cn.Conn) == recvbuf.Empty && cn.r.Buffered() == 0 {
 			return cn, nil
 		}
 		_ = cn.Close()
--- a/pkg/mesh/connections.go
+++ b/pkg/mesh/connections.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/mulberrytray/mulberrytray/pkg/recvbuf"
 	"github.com/mulberrytray/mulberrytray/pkg/relay"
 	"github.com/mulberrytray/mulberrytray/pkg/route"
 )
@@ -154,10 +155,13 @@
 
 // expire ends an idle connection. It ends only the server's wait for more bytes: if the
 // server has already read a request, it still serves it. Closing the connection would lose
-// the response. The lock must be held.
+// the response. A connection with unread bytes stays open, because the server may not have
+// noticed a request yet. The lock must be held.
 func (c *callerConnections) expire(conn net.Conn, cc *callerConnection) {
-	cc.expired = true
-	_ = conn.SetReadDeadline(time.Unix(1, 0))
+	if recvbuf.Check(conn) != recvbuf.Readable {
+		cc.expired = true
+		_ = conn.SetReadDeadline(time.Unix(1, 0))
+	}
 	// The server may have begun to read a header and reset the deadline in the meantime.
 	c.startIdleTimer(conn, cc)
 }
--- a/pkg/mesh/connections_test.go
+++ b/pkg/mesh/connections_test.go
@@ -158,6 +158,70 @@
 	}
 }
 
+// lateConn delays its reads until the gate opens, like a server that is not scheduled.
+type lateConn struct {
+	*net.TCPConn
+	late *atomic.Bool
+	gate chan struct{}
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	if c.late.Load() {
+		<-c.gate
+	}
+	return c.TCPConn.Read(p)
+}
+
+type lateListener struct {
+	net.Listener
+	late *atomic.Bool
+	gate chan struct{}
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lateConn{c.(*net.TCPConn), l.late, l.gate}, nil
+}
+
+// Guards against ending a connection with a request that the server has not read yet, because
+// its goroutine runs late.
+func TestIdleLimitKeepsConnectionWithUnreadRequest(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	table, err := route.NewTable(1, route.Limits{IdleTimeout: limit / 2, HeaderTimeout: limit / 2}, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newCallerConnections(func() *route.Table { return table })
+	var late atomic.Bool
+	gate := make(chan struct{})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Listener = lateListener{server.Listener, &late, gate}
+	server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
+		c.trackState(conn, state)
+		if state == http.StateIdle {
+			late.Store(true)
+		}
+	}
+	server.Config.ConnContext = c.connContext
+	server.Start()
+	t.Cleanup(server.Close)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := request(t, conn); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(3*limit, func() { close(gate) })
+	if err := request(t, conn); err != nil {
+		t.Errorf("request that was read late: %v", err)
+	}
+}
+
 // Guards against a stop that drops a request because the server reads it after the stop has
 // begun to close connections.
 func TestStopAnswersRequestsOnAcceptedConnections(t *testing.T) {
--- /dev/null
+++ b/pkg/recvbuf/recvbuf_linux.go
@@ -0,0 +1,57 @@
+// Package recvbuf looks at the receive buffer of a connection without reading from it. The
+// connection may be in use by another goroutine.
+package recvbuf
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+// State is the state of a receive buffer.
+type State int
+
+// States of a receive buffer.
+const (
+	// Unknown is for connections without a socket and for sockets with an error.
+	Unknown State = iota
+	// Empty buffers belong to an open connection without bytes to read.
+	Empty
+	// Readable buffers have bytes to read.
+	Readable
+	// Ended buffers have none, and the other side has closed the connection.
+	Ended
+)
+
+// Check returns the state of the connection's receive buffer.
+func Check(n net.Conn) State {
+	sc, ok := n.(syscall.Conn)
+	if !ok {
+		return Unknown
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return Unknown
+	}
+	state := Unknown
+	// Read would wait for a goroutine that reads from the connection.
+	err = raw.Control(func(fd uintptr) { state = peek(int(fd)) })
+	if err != nil {
+		return Unknown
+	}
+	return state
+}
+
+func peek(fd int) State {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case errors.Is(err, syscall.EAGAIN):
+		return Empty
+	case err != nil:
+		return Unknown
+	case n > 0:
+		return Readable
+	}
+	return Ended
+}
