--- a/pkg/configlog/httplog/client_test.go
+++ b/pkg/configlog/httplog/client_test.go
@@ -1,39 +1,19 @@
 package httplog
 
 import (
-	"bufio"
-	"context"
-	"io"
-	"net"
 	"net/http"
 	"net/url"
-	"strings"
 	"testing"
 	"time"
+
+	"github.com/mulberrytray/mulberrytray/internal/standin/endless"
 )
 
 // A response whose header has no end must not be collected until the time limit.
 func TestEndlessHeaderIsCutOff(t *testing.T) {
-	const available = 32 << 20
-	sent := make(chan int, 1)
+	dial, sent := endless.Dialer()
 	c := New(&url.URL{Scheme: "http", Host: "log"}, 10*time.Second)
-	c.client.Transport.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) {
-		client, server := net.Pipe()
-		go func() {
-			defer func() { _ = server.Close() }()
-			if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
-				return
-			}
-			n, err := io.WriteString(server, "HTTP/1.1 200 OK\r\nName: ")
-			for err == nil && n < available {
-				var k int
-				k, err = io.WriteString(server, strings.Repeat("x", 4096))
-				n += k
-			}
-			sent <- n
-		}()
-		return client, nil
-	}
+	c.client.Transport.(*http.Transport).DialContext = dial
 	if got, err := c.Read(t.Context(), "s", 0, 1); err == nil {
 		t.Errorf("got %v, want an error", got)
 	}
--- a/pkg/relay/peer_test.go
+++ b/pkg/relay/peer_test.go
@@ -1,15 +1,15 @@
 package relay
 
 import (
-	"bufio"
 	"compress/gzip"
-	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"github.com/mulberrytray/mulberrytray/internal/standin/endless"
 )
 
 // The upstream must receive the request exactly as the caller sent it, also through
@@ -88,26 +88,9 @@
 
 // The header of another node's response has a limit far below the memory of a node.
 func TestEndlessHeaderOfNodeIsCutOff(t *testing.T) {
-	const available = 32 << 20
-	sent := make(chan int, 1)
+	dial, sent := endless.Dialer()
 	p := NewHTTPPeers()
-	p.configs.Transport.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) {
-		client, server := net.Pipe()
-		go func() {
-			defer func() { _ = server.Close() }()
-			if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
-				return
-			}
-			n, err := io.WriteString(server, "HTTP/1.1 200 OK\r\nName: ")
-			for err == nil && n < available {
-				var k int
-				k, err = io.WriteString(server, strings.Repeat("x", 4096))
-				n += k
-			}
-			sent <- n
-		}()
-		return client, nil
-	}
+	p.configs.Transport.(*http.Transport).DialContext = dial
 	if b, err := p.Config(t.Context(), "node"); err == nil {
 		t.Errorf("got %d bytes, want an error", len(b))
 	}
