--- a/internal/standin/platformlog/platformlog_test.go
+++ b/internal/standin/platformlog/platformlog_test.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// start returns a stand-in, a client that finds it slow, and one that bears a busy machine.
+// start returns a stand-in, a client with a short time limit and one with a long one.
 func start(t *testing.T) (s *platformlog.Server, impatient, patient *httplog.Client) {
 	t.Helper()
 	s = platformlog.New(time.Hour)
--- a/pkg/standalone/standalone.go
+++ b/pkg/standalone/standalone.go
@@ -12,7 +12,7 @@
 
 // HeaderNames returns the names of the headers for callers and upstreams. Responses
 // of upstreams have no seal, need not repeat the request id and report no load. A
-// Mulberrytray-Not-Run header is believed if its response repeats the request id or is the
+// Mulberrytray-Not-Run header counts if its response repeats the request id or is the
 // first one on its connection.
 func HeaderNames() relay.HeaderNames {
 	return relay.HeaderNames{
