Test responses that break off at any byte of their head

Cause: operators of similar systems report successes with an empty or short body after an upstream stopped inside the head of its response.

--- a/pkg/sidecar/dispatch_test.go
+++ b/pkg/sidecar/dispatch_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -124,6 +125,31 @@
 	}
 }
 
+// Guards against an upstream that stops in the middle of the head of its response, if the
+// caller gets a success with an empty or short body.
+func TestBrokenOffHeadIsNoSuccess(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nDate: x\r\nContent-Length: 4\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nDate: x\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nDate: x\r\n\r\n",
+	} {
+		for n := range len(head) {
+			t.Run(strconv.Itoa(n), func(t *testing.T) {
+				// The sidecar waits after each failure for news of a restart.
+				t.Parallel()
+				u := newRawUpstream(t, func(_ *rawUpstream, c net.Conn, _ *http.Request) bool {
+					_, _ = io.WriteString(c, head[:n])
+					return false
+				})
+				resp := do(newSidecar(u.listener.Addr().String(), Config{}), newRequest("GET", "http://x/", nil))
+				if resp.StatusCode != http.StatusBadGateway || resp.Header.Get(outcome.HeaderOutcome) != string(outcome.Unknown) {
+					t.Errorf("status %d, outcome %q for %q", resp.StatusCode, resp.Header.Get(outcome.HeaderOutcome), head[:n])
+				}
+			})
+		}
+	}
+}
+
 // Guards against internal headers that reach the upstream or that it can forge,
 // lost trailers, and a deadline that is not forwarded.
 func TestHeadersAndTrailers(t *testing.T) {
