Answer requests that a stopping node can't finish

Late requests are served or rejected here, but a request that was taken before the node had become unready and lasts beyond the stop lost its connection without an answer, which callers can take for a request that was not read. Calls of other nodes that may last beyond the stop were accepted although other upstreams are free.

Change: at the end of a stop the ingress ends the requests that are left and answers 502; the sidecar rejects calls that may last beyond the stop from its beginning, and their ingresses send them elsewhere.

--- a/pkg/mesh/helper_test.go
+++ b/pkg/mesh/helper_test.go
@@ -44,7 +44,8 @@
 
 func newMemoryStore() *memoryStore { return &memoryStore{changed: make(chan struct{})} }
 
-// testConfig is the encoded form of a table with one route per service.
+// testConfig is the encoded form of a table with an idempotent route /S/ and a route /once/S/
+// for each service S.
 type testConfig struct {
 	Version  uint64
 	Services []string
@@ -143,6 +144,9 @@
 		routes = append(routes, &route.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Idempotent: true, Target: time.Second, Timeout: 2 * time.Second,
 			MaxAttempts: 2, Services: []route.WeightedService{{Service: name, Weight: 1}},
+		}, &route.Route{
+			Name: "once-" + name, Host: "h", Prefix: "/once/" + name + "/", Target: time.Second, Timeout: 2 * time.Second,
+			MaxAttempts: 2, Services: []route.WeightedService{{Service: name, Weight: 1}},
 		})
 	}
 	t, err := route.NewTable(config.Version, route.Limits{MaxBodyBytes: 1 << 20}, services, routes)
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -322,6 +322,7 @@
 	n.deps.Events.Emit(event.NodeDraining, event.Fields{"active": n.ingress.Active(), "running": n.sidecar.Running()})
 	n.ingress.CloseConnections()
 	deadline := start.Add(n.settings.StopWithin - closeReserve)
+	n.sidecar.StopAt(deadline)
 	upstreamStopped := false
 	for time.Now().Before(deadline) {
 		if !upstreamStopped && time.Since(start) > unreadyDuration-upstreamFinishTime {
@@ -347,13 +348,16 @@
 }
 
 // closeServers closes the listener for callers, waits until the deadline for the requests
-// on the connections that it has accepted, and then closes all connections.
+// on the connections that it has accepted, ends those that are left with an error, and then
+// closes all connections.
 func (n *Node) closeServers(deadline time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	_ = n.listeners[0].Close()
 	if err := n.connections.drain(ctx); err != nil {
 		n.deps.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error(), "during": "stop", "active": n.ingress.Active()})
+		n.ingress.Abort()
+		n.awaitHandlers()
 	}
 	n.connections.markAllClosed(relay.ClosedByStop)
 	// Responses to other nodes may still be on their way.
@@ -368,7 +372,7 @@
 	n.awaitHandlers()
 }
 
-// awaitHandlers waits until the handlers of aborted requests have logged them.
+// awaitHandlers waits until the handlers of aborted requests have responded or logged them.
 func (n *Node) awaitHandlers() {
 	for range handlerChecks {
 		if n.ingress.Active() == 0 {
--- a/pkg/mesh/node_test.go
+++ b/pkg/mesh/node_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -198,8 +197,7 @@
 					// Callers retry after a pause.
 					time.Sleep(50 * time.Millisecond)
 				}
-				var op *net.OpError
-				if errors.As(err, &op) && op.Op == "dial" {
+				if isDialError(err) {
 					return
 				}
 				if err != nil {
--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -77,6 +77,9 @@
 	// stopAt is when the node stops, or nil.
 	stopAt atomic.Pointer[time.Time]
 	active atomic.Int64
+	// aborted ends when Abort is called.
+	aborted context.Context
+	abort   context.CancelFunc
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -89,6 +92,7 @@
 	in.splitter = route.NewSplitter()
 	in.budgets = map[string]*retry.Budget{}
 	in.ages = map[string]*ageEstimator{}
+	in.aborted, in.abort = context.WithCancel(context.Background())
 }
 
 // Install activates a routing table for requests that start from now on.
@@ -110,6 +114,10 @@
 // ones, such as calls of the upstream beside the node, are still served.
 func (in *Ingress) StopAt(at time.Time) { in.stopAt.Store(&at) }
 
+// Abort ends all requests that were passed on and have no response yet. Their callers get
+// an error instead of a closed connection, which could mean that the request was not read.
+func (in *Ingress) Abort() { in.abort() }
+
 // Active returns the number of requests in progress.
 func (in *Ingress) Active() int64 { return in.active.Load() }
 
@@ -147,7 +155,7 @@
 		in.reject(w, r, http.StatusServiceUnavailable, "stopping", stoppingRetry)
 		return
 	}
-	result := in.forward(r.Context(), rs)
+	result := in.forwardUntilAbort(r.Context(), rs)
 	if rs.call.Rest != nil {
 		in.closeBody(w, r)
 	}
@@ -165,6 +173,23 @@
 	return b
 }
 
+// forwardUntilAbort forwards the request until it completes or Abort is called.
+func (in *Ingress) forwardUntilAbort(ctx context.Context, rs *requestState) *Result {
+	abortable, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(in.aborted, cancel)
+	result := in.forward(abortable, rs)
+	if result.Rest != nil {
+		result.Rest = &closer{ReadCloser: result.Rest, done: func() { stop(); cancel() }}
+		return result
+	}
+	stop()
+	cancel()
+	if result.Kind == Failed && in.aborted.Err() != nil && ctx.Err() == nil {
+		return failed("stopped", false)
+	}
+	return result
+}
+
 // forward sends the request to upstreams until it completes or may not be retried.
 func (in *Ingress) forward(ctx context.Context, rs *requestState) *Result {
 	budget := in.budget(rs.call.Service)
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -60,6 +60,9 @@
 	}
 	c.Upstream = cur.ID
 	now := s.now()
+	if s.stopAt > 0 && now+c.Timeout+responseSlack > s.stopAt {
+		return nil, nil, rejected("stopping", 0)
+	}
 	r := &gate.Request{
 		Class: c.Class, Rank: c.Rank, TargetLatency: c.Target,
 		TargetTime: now + c.TargetLeft, Deadline: now + c.Timeout,
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -44,11 +44,13 @@
 	// held and must not block.
 	loadChanged, stateChanged func()
 
-	mu          sync.Mutex
-	gate        *gate.Gate
-	tracker     announce.Tracker
-	down        bool
-	stopping    bool
+	mu       sync.Mutex
+	gate     *gate.Gate
+	tracker  announce.Tracker
+	down     bool
+	stopping bool
+	// stopAt is when the node stops, or zero.
+	stopAt      time.Duration
 	waiting     map[*gate.Request]chan *Result
 	failures    failureRatio
 	meanService time.Duration
@@ -120,6 +122,14 @@
 	s.stateChanged()
 }
 
+// StopAt rejects all further calls that may last beyond the given time. Their ingresses
+// send them to other upstreams.
+func (s *Sidecar) StopAt(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopAt = at.Sub(s.start)
+}
+
 // PruneServiceTimes lets the gate delete the service times of routes that the table does
 // not contain.
 func (s *Sidecar) PruneServiceTimes(t *route.Table) {
--- a/pkg/relay/sidecar_test.go
+++ b/pkg/relay/sidecar_test.go
@@ -1,6 +1,10 @@
 package relay
 
-import "testing"
+import (
+	"net/http"
+	"testing"
+	"time"
+)
 
 // A node that starts beside a busy upstream counts the requests that an earlier process
 // left running there, but does not count its own later requests among them.
@@ -21,3 +25,23 @@
 		}
 	}
 }
+
+// Guards against calls of other nodes that a stopping node accepts and cuts at its end.
+func TestCallsBeyondTheEndOfTheStopAreRejected(t *testing.T) {
+	for _, tt := range []struct {
+		timeout time.Duration
+		want    Kind
+	}{{time.Second, Completed}, {3 * time.Second, Rejected}} {
+		t.Run(tt.timeout.String(), func(t *testing.T) {
+			u := startUpstream(t, nil)
+			s := newTestSidecar(u, 10)
+			s.StopAt(time.Now().Add(2 * time.Second))
+			result := s.Run(t.Context(), &Call{
+				ID: "1", Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{"X-Request-Id": {"1"}}, Service: "svc", Upstream: "u1", Timeout: tt.timeout,
+			})
+			if result.Kind != tt.want || (tt.want == Rejected && len(u.requests()) > 0) {
+				t.Errorf("%s (%s), %d requests at the upstream, want %s", result.Kind, result.Reason, len(u.requests()), tt.want)
+			}
+		})
+	}
+}
