Bound the memory for bodies and free slots of slow readers' responses

Cause: each request and response kept up to 256 KB in memory, without a limit on their sum; a caller that read slowly or not at all held the slot of the upstream until its request's deadline, beside the own upstream until it read on, and its memory for good; a response without end was streamed until its deadline.

Without room, bodies are forwarded in blocks. The rest of a long response is read up to 4 MB ahead of its reader, so that the slot is free when the upstream is done. A reader that does not take 32 KB within 5 s is disconnected; a response ends at 1 GB. The metric bodies.bytes shows what is in use.

--- /dev/null
+++ b/pkg/bodybuf/ahead.go
@@ -0,0 +1,126 @@
+package bodybuf
+
+import (
+	"errors"
+	"io"
+	"slices"
+	"sync"
+)
+
+var errClosed = errors.New("body closed")
+
+// block is a part of a body in memory.
+type block struct {
+	bytes []byte
+	// counted is the number of bytes that were taken from the budget.
+	counted int64
+}
+
+// ahead is a body that is read ahead of its reader.
+type ahead struct {
+	body   io.ReadCloser
+	budget *Budget
+	limit  int64
+
+	mu   sync.Mutex
+	cond sync.Cond
+	// blocks were read and not yet returned; queued is the number of their bytes.
+	blocks []block
+	queued int64
+	closed bool
+	// err ends the body after the queued blocks.
+	err error
+}
+
+// ReadAhead returns a reader of the body that keeps up to limit bytes in memory, as far as
+// the budget allows. It reads the body at the body's speed, however slowly the returned
+// reader is read. The returned reader must be closed, which closes the body.
+func (b *Budget) ReadAhead(body io.ReadCloser, limit int64) io.ReadCloser {
+	a := &ahead{body: body, budget: b, limit: limit}
+	a.cond.L = &a.mu
+	go a.fill()
+	return a
+}
+
+// fill reads the body until it ends or is closed.
+func (a *ahead) fill() {
+	buffer := make([]byte, blockBytes)
+	for {
+		reserved, ok := a.awaitRoom()
+		if !ok {
+			return
+		}
+		n, err := a.body.Read(buffer)
+		counted := min(reserved, int64(n))
+		a.budget.release(reserved - counted)
+		a.add(block{slices.Clone(buffer[:n]), counted}, err)
+	}
+}
+
+// awaitRoom waits until another block may be read, and returns the number of bytes that it
+// took from the budget for it. The first block is not counted, so that the body makes
+// progress without the budget. The result is false after the end of the body.
+func (a *ahead) awaitRoom() (reserved int64, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for !a.closed && a.err == nil {
+		if a.queued == 0 {
+			return 0, true
+		}
+		if a.queued < a.limit && a.budget.acquire(blockBytes) {
+			return blockBytes, true
+		}
+		a.cond.Wait()
+	}
+	return 0, false
+}
+
+func (a *ahead) add(b block, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.err = err
+	if a.closed || len(b.bytes) == 0 {
+		a.budget.release(b.counted)
+	} else {
+		a.blocks = append(a.blocks, b)
+		a.queued += int64(len(b.bytes))
+	}
+	a.cond.Broadcast()
+}
+
+// Read implements io.Reader.
+func (a *ahead) Read(p []byte) (int, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for len(a.blocks) == 0 {
+		if a.closed {
+			return 0, errClosed
+		}
+		if a.err != nil {
+			return 0, a.err
+		}
+		a.cond.Wait()
+	}
+	first := &a.blocks[0]
+	n := copy(p, first.bytes)
+	first.bytes = first.bytes[n:]
+	a.queued -= int64(n)
+	if len(first.bytes) == 0 {
+		a.budget.release(first.counted)
+		a.blocks = a.blocks[1:]
+	}
+	a.cond.Broadcast()
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (a *ahead) Close() error {
+	a.mu.Lock()
+	for _, b := range a.blocks {
+		a.budget.release(b.counted)
+	}
+	a.closed, a.blocks, a.queued = true, nil, 0
+	a.cond.Broadcast()
+	a.mu.Unlock()
+	return a.body.Close()
+}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -10,12 +10,10 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -24,6 +22,7 @@
 	"sync"
 	"time"
 
+	"github.com/mulberrytray/mulberrytray/pkg/bodybuf"
 	"github.com/mulberrytray/mulberrytray/pkg/recvbuf"
 )
 
@@ -51,6 +50,8 @@
 	// bodyBufferBytes of a body are buffered before it is forwarded, so that a
 	// truncated response can still be replaced by an error.
 	bodyBufferBytes = 256 << 10
+	// maxBodyBytes limits the body of a response.
+	maxBodyBytes = 1 << 30
 	// concurrentWriteBytes is the size above which a body is written while the
 	// response is awaited, since upstreams may respond before they have read it.
 	concurrentWriteBytes = 8 << 10
@@ -104,10 +105,25 @@
 	// Matched is set if the response certainly belongs to the request: it repeats its id
 	// or is the first one on its connection. Otherwise it may repeat an earlier response.
 	Matched bool
+	// Buffer holds Body and must be released.
+	Buffer *bodybuf.Buffer
+}
+
+// Close closes the rest of the body and releases its beginning.
+func (r *Response) Close() {
+	if r.Rest != nil {
+		_ = r.Rest.Close()
+	}
+	r.Buffer.Release()
 }
 
 // Client sends requests to one upstream address. It is safe for concurrent use.
 type Client struct {
+	// Bodies limits the memory for responses.
+	Bodies *bodybuf.Budget
+
+	// maxBody limits the body of a response.
+	maxBody int64
 	address string
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	mu      sync.Mutex
@@ -117,7 +133,7 @@
 
 // NewClient returns a client for the upstream at the address.
 func NewClient(address string) *Client {
-	return &Client{address: address, dial: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	return &Client{address: address, maxBody: maxBodyBytes, dial: (&net.Dialer{Timeout: dialTimeout}).DialContext}
 }
 
 type conn struct {
@@ -271,12 +287,12 @@
 	if out.NotRun {
 		cn.declinedIDs = append(cn.declinedIDs, req.id())
 	}
-	buffered := new(bytes.Buffer)
-	n, err := io.CopyN(buffered, resp.Body, bodyBufferBytes)
-	out.Body = buffered.Bytes()
-	if err != nil && !errors.Is(err, io.EOF) {
-		return nil, fmt.Errorf("%w: response body broken off after %d bytes: %w", ErrOutcomeUnknown, n, err)
+	cn.limit.set(c.maxBody, errBodyTooLong)
+	buffer, err := c.Bodies.Read(resp.Body, bodyBufferBytes)
+	if err != nil {
+		return nil, fmt.Errorf("%w: response body broken off after %d bytes: %w", ErrOutcomeUnknown, len(buffer.Bytes), err)
 	}
+	out.Buffer, out.Body = buffer, buffer.Bytes
 	finish := func(complete bool) {
 		stopped := stop()
 		if complete && stopped && reusable(cn, resp, written) {
@@ -285,11 +301,11 @@
 		}
 		_ = cn.Close()
 	}
-	if err == nil {
+	if !buffer.Complete {
 		out.Rest = &remainingBody{ReadCloser: resp.Body, finish: finish}
 		return out, nil
 	}
-	out.Length = n
+	out.Length = int64(len(buffer.Bytes))
 	finish(true)
 	return out, nil
 }
@@ -351,7 +367,6 @@
 			continue
 		}
 		if req.IDOptional || resp.Header.Get(req.IDHeader) == req.id() {
-			cn.limit.set(math.MaxInt64, nil)
 			return resp, nil
 		}
 		cn.limit.set(maxForeignBodyBytes, errForeignBodyTooLong)
--- a/pkg/exchange/limit.go
+++ b/pkg/exchange/limit.go
@@ -7,6 +7,7 @@
 
 var (
 	errHeadTooLong        = errors.New("header of the response too long")
+	errBodyTooLong        = errors.New("body of the response too long")
 	errForeignBodyTooLong = errors.New("body of the response to another request too long")
 )
 
--- a/pkg/exchange/limit_test.go
+++ b/pkg/exchange/limit_test.go
@@ -102,15 +102,20 @@
 	}
 }
 
-// The body of a valid response has no limit, but only its beginning is buffered. Closing
-// it ends the connection without reading the rest.
-func TestEndlessBodyIsReadOnlyOnDemand(t *testing.T) {
+// endlessBodies returns upstreams that respond with a body without end, by framing.
+func endlessBodies() map[string]*endlessUpstream {
 	const head = "HTTP/1.1 200 OK\r\nId: a\r\n"
-	for desc, u := range map[string]*endlessUpstream{
+	return map[string]*endlessUpstream{
 		"without a length": newEndlessUpstream(head+"\r\n", "x"),
 		"with a length":    newEndlessUpstream(head+"Content-Length: 1099511627776\r\n\r\n", "x"),
 		"chunked":          newEndlessUpstream(head+"Transfer-Encoding: chunked\r\n\r\n", "400\r\n"+strings.Repeat("x", 1024)+"\r\n"),
-	} {
+	}
+}
+
+// Only the beginning of the body of a valid response is buffered. Closing
+// it ends the connection without reading the rest.
+func TestEndlessBodyIsReadOnlyOnDemand(t *testing.T) {
+	for desc, u := range endlessBodies() {
 		t.Run(desc, func(t *testing.T) {
 			resp, err := u.client().Do(context.Background(), get("a"))
 			if err != nil || resp.Rest == nil {
@@ -127,6 +132,25 @@
 	}
 }
 
+// Guards against a valid response that is read without end until its deadline.
+func TestBodyWithoutEndIsBrokenOffAtTheLimit(t *testing.T) {
+	const limit = 2 << 20
+	for desc, u := range endlessBodies() {
+		t.Run(desc, func(t *testing.T) {
+			c := u.client()
+			c.maxBody = limit
+			resp, err := c.Do(context.Background(), get("a"))
+			if err != nil || resp.Rest == nil {
+				t.Fatalf("response %v, error %v; want the beginning of a body", resp, err)
+			}
+			defer resp.Close()
+			if n, err := io.Copy(io.Discard, resp.Rest); !errors.Is(err, errBodyTooLong) || n > limit {
+				t.Errorf("%d bytes, error %v; want at most %d and errBodyTooLong", n, err, limit)
+			}
+		})
+	}
+}
+
 // Bytes that follow a complete response end the connection: they belong to no request.
 func TestEndlessBytesAfterResponseAreNotRead(t *testing.T) {
 	u := newEndlessUpstream(ok("a", "whole")+"x", "x")
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/mulberrytray/mulberrytray/pkg/bodybuf"
 	"github.com/mulberrytray/mulberrytray/pkg/drain"
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/relay"
@@ -67,6 +68,8 @@
 	sidecar *relay.Sidecar
 	ingress *relay.Ingress
 	peers   *relay.HTTPPeers
+	// bodies limits the memory for bodies of requests and responses.
+	bodies  *bodybuf.Budget
 	watcher *configWatcher
 	history *storeHistory
 	fetcher *fetcher
@@ -108,11 +111,14 @@
 	n.dir = newDirectory(s.PeerAddress, s.Domain, n.start)
 	n.gossip = newGossip(n.dir, conn, d.Events)
 	n.sidecar = relay.NewSidecar(d.Names, s.Service, s.UpstreamAddress, d.Events, n.gossip.requestSend, n.gossip.requestSendToAll)
+	n.bodies = bodybuf.NewBudget(s.bodyMemory())
+	n.sidecar.SetBodies(n.bodies)
 	n.dir.sidecar = n.sidecar
 	n.gossip.status, n.gossip.onStatus = n.status, n.handleStatus
 	n.peers = relay.NewHTTPPeers()
+	n.peers.Bodies = n.bodies
 	n.ingress = &relay.Ingress{
-		Names: d.Names, Service: s.Service, Dir: n.dir, Peers: n.peers, Sidecar: n.sidecar, Events: d.Events, Metrics: n.metrics,
+		Names: d.Names, Service: s.Service, Dir: n.dir, Peers: n.peers, Sidecar: n.sidecar, Events: d.Events, Metrics: n.metrics, Bodies: n.bodies,
 	}
 	n.ingress.Provision()
 	n.history = newStoreHistory(d.Events)
@@ -135,6 +141,7 @@
 func (n *Node) registerGauges() {
 	for name, value := range map[string]func() int64{
 		"requests.active":   n.ingress.Active,
+		"bodies.bytes":      n.bodies.Used,
 		"members":           func() int64 { return int64(n.dir.len()) },
 		"config.version":    func() int64 { return int64(n.watcher.version()) },
 		"log.dropped":       n.deps.Dropped,
--- a/pkg/mesh/node_test.go
+++ b/pkg/mesh/node_test.go
@@ -296,7 +296,7 @@
 	}
 	for _, invalidate := range []func(*Settings){
 		func(s *Settings) { s.Domain = "" }, func(s *Settings) { s.Service = "" }, func(s *Settings) { s.PeerAddress = "nowhere" },
-		func(s *Settings) { s.UpstreamAddress = "" }, func(s *Settings) { s.StopWithin = time.Millisecond },
+		func(s *Settings) { s.UpstreamAddress = "" }, func(s *Settings) { s.StopWithin = time.Millisecond }, func(s *Settings) { s.MemoryBytes = -1 },
 	} {
 		s := valid
 		invalidate(&s)
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -38,6 +38,24 @@
 	// ProbesPerSecond is the maximum rate of probes of the upstream. If it is not positive,
 	// only minProbeInterval limits the rate.
 	ProbesPerSecond float64
+	// MemoryBytes is the memory that the process may use, or 0 if it is not limited.
+	MemoryBytes int64
+}
+
+const (
+	// bodyMemoryDivisor is the part of the process's memory for bodies of requests and
+	// responses. The garbage collector may let the heap grow to twice of what is in use.
+	bodyMemoryDivisor = 4
+	// defaultBodyMemory is used if the process's memory is not limited.
+	defaultBodyMemory = 64 << 20
+)
+
+// bodyMemory returns the memory for bodies of requests and responses in bytes.
+func (s Settings) bodyMemory() int64 {
+	if s.MemoryBytes == 0 {
+		return defaultBodyMemory
+	}
+	return s.MemoryBytes / bodyMemoryDivisor
 }
 
 // Validate returns an error for the first invalid setting. Errors wrap ErrSettings.
@@ -59,6 +77,8 @@
 		return fmt.Errorf("%w: no service", ErrSettings)
 	case s.Domain == "":
 		return fmt.Errorf("%w: no failure domain", ErrSettings)
+	case s.MemoryBytes < 0:
+		return fmt.Errorf("%w: memory of %d bytes is negative", ErrSettings, s.MemoryBytes)
 	case s.StopWithin < minStopTime:
 		return fmt.Errorf("%w: stop time limit %v is below the minimum of %v", ErrSettings, s.StopWithin, minStopTime)
 	}
--- a/pkg/relay/body.go
+++ b/pkg/relay/body.go
@@ -1,45 +1,61 @@
 package relay
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
+	"time"
+
+	"github.com/mulberrytray/mulberrytray/pkg/bodybuf"
 )
 
 // bodyBufferBytes is the number of bytes of a body that are buffered before it is
 // forwarded. Requests with longer bodies cannot be retried.
 const bodyBufferBytes = 256 << 10
 
+const (
+	// maxAheadBytes of the rest of a response are read ahead of a slow reader, so that the
+	// upstream is soon done with the request and its slot is free.
+	maxAheadBytes = 4 << 20
+	// unlimitedWriteBytes is the length of a body that the server buffers, so that writing
+	// it does not wait for the reader.
+	unlimitedWriteBytes = 2 << 10
+	// writeBlockBytes is the size of the blocks in which longer bodies are written.
+	writeBlockBytes = 32 << 10
+	// blockWriteTimeout bounds the time in which a reader takes one block. Readers on the
+	// users' slowest links (10 Mbit/s) take a block in 26 ms.
+	blockWriteTimeout = 5 * time.Second
+)
+
 var (
 	errBodyTooLarge = errors.New("request body too large")
 	errBodyBroken   = errors.New("request body broken")
 	errBodyTimeout  = errors.New("request body did not come in time")
 )
 
-// readBody buffers the beginning of the body in the call. Rest is set if the body is
-// longer than the buffer.
-func readBody(c *Call, body io.Reader, length, limit int64) error {
+// readBody buffers the beginning of the body in the call, which must be released. Rest is
+// set if the body is longer than the buffer.
+func readBody(c *Call, bodies *bodybuf.Budget, body io.Reader, length, limit int64) error {
 	if length > limit {
 		return errBodyTooLarge
 	}
-	var b bytes.Buffer
-	n, err := io.CopyN(&b, body, bodyBufferBytes)
+	buffer, err := bodies.Read(body, bodyBufferBytes)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return errBodyTimeout
 	}
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil {
 		return fmt.Errorf("%w: %w", errBodyBroken, err)
 	}
-	c.Body = b.Bytes()
-	if err == nil {
+	c.buffer, c.Body = buffer, buffer.Bytes
+	if !buffer.Complete {
 		c.Rest, c.Length = body, length
 		return nil
 	}
-	c.Length = n
+	c.Length = int64(len(c.Body))
 	return nil
 }
 
@@ -54,9 +70,11 @@
 	return http.StatusBadRequest
 }
 
-// writeResponse writes the upstream's response. If the body breaks off, writeResponse
-// aborts the connection, so that the caller never takes a truncated body for complete.
+// writeResponse writes the upstream's response and closes it. If the body breaks off or the
+// reader stalls, writeResponse aborts the connection, so that the caller never takes a
+// truncated body for complete.
 func writeResponse(w http.ResponseWriter, r *Result) {
+	defer r.close()
 	h := w.Header()
 	for name, values := range r.Header {
 		h[name] = values
@@ -71,15 +89,48 @@
 		h.Set("Content-Length", strconv.FormatInt(r.Length, 10))
 	}
 	w.WriteHeader(r.Status)
-	if _, err := w.Write(r.Body); err != nil || r.Rest == nil {
-		r.close()
+	if r.Rest == nil && len(r.Body) <= unlimitedWriteBytes {
+		_, _ = w.Write(r.Body)
 		return
 	}
-	_, err := io.Copy(w, r.Rest)
-	r.close()
+	limited := &limitedWriter{w, http.NewResponseController(w)}
+	_, err := limited.Write(r.Body)
+	if err == nil && r.Rest != nil {
+		_, err = io.CopyBuffer(limited, r.Rest, make([]byte, writeBlockBytes))
+	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	limited.end()
+}
+
+// limitedWriter writes a response in blocks. A reader that does not take a block within
+// blockWriteTimeout has its connection closed, so that it does not hold memory for long.
+type limitedWriter struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+}
+
+// Write implements io.Writer.
+func (l *limitedWriter) Write(p []byte) (int, error) {
+	written := 0
+	for block := range slices.Chunk(p, writeBlockBytes) {
+		// If the connection is closed, Write fails as well.
+		_ = l.control.SetWriteDeadline(time.Now().Add(blockWriteTimeout))
+		n, err := l.w.Write(block)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// end writes what the server has buffered and removes the time limit, since the connection
+// may be used for more responses.
+func (l *limitedWriter) end() {
+	_ = l.control.Flush()
+	_ = l.control.SetWriteDeadline(time.Time{})
 }
 
 func bodyAllowed(status int) bool {
--- a/pkg/relay/call.go
+++ b/pkg/relay/call.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/mulberrytray/mulberrytray/pkg/bodybuf"
 	"github.com/mulberrytray/mulberrytray/pkg/roster"
 )
 
@@ -75,6 +76,9 @@
 	// Timeout is the time left until the response is due.
 	Timeout    time.Duration
 	Idempotent bool
+
+	// buffer holds Body.
+	buffer *bodybuf.Buffer
 }
 
 // Kind is the outcome of a call.
@@ -126,12 +130,17 @@
 	State roster.Upstream
 	// TimedOut is set for failed calls that exceeded their time limit.
 	TimedOut bool
+
+	// buffer holds Body.
+	buffer *bodybuf.Buffer
 }
 
+// close closes the rest of the body and releases its beginning.
 func (r *Result) close() {
 	if r.Rest != nil {
 		_ = r.Rest.Close()
 	}
+	r.buffer.Release()
 }
 
 // errPeer is wrapped by errors of the transfer between nodes.
--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -15,6 +15,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/mulberrytray/mulberrytray/pkg/bodybuf"
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/retry"
 	"github.com/mulberrytray/mulberrytray/pkg/route"
@@ -70,6 +71,8 @@
 	Sidecar *Sidecar
 	Events  *event.Logger
 	Metrics metrics.Registry
+	// Bodies limits the memory for requests.
+	Bodies *bodybuf.Budget
 
 	table    atomic.Pointer[route.Table]
 	splitter *route.Splitter
@@ -147,6 +150,7 @@
 	}
 	defer in.limitBodyDrain(w, r)
 	rs := in.newRequestState(r, table, rt)
+	defer rs.close()
 	if err := in.readRequest(w, r, rs, table.Limits.MaxBodyBytes); err != nil {
 		in.reject(w, r, bodyStatus(err), err.Error(), 0)
 		return
@@ -200,7 +204,7 @@
 		if result == nil {
 			return rs.finalResult(last)
 		}
-		if last != nil {
+		if last != nil && last != rs.errorResponse {
 			last.close()
 		}
 		rs.detail = append(rs.detail, string(result.Kind)+":"+result.Reason)
@@ -212,7 +216,7 @@
 			return rs.finalResult(last)
 		}
 		if result.Kind == Completed && result.Rest == nil {
-			rs.errorResponse = result
+			rs.setErrorResponse(result)
 		}
 	}
 }
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/mulberrytray/mulberrytray/pkg/bodybuf"
 	"github.com/mulberrytray/mulberrytray/pkg/roster"
 )
 
@@ -62,6 +63,9 @@
 // Configurations use separate connections and are compressed: on a shared connection,
 // a long transfer would delay the ping until it fails and all calls are lost.
 type HTTPPeers struct {
+	// Bodies limits the memory for responses.
+	Bodies *bodybuf.Budget
+
 	client  *http.Client
 	configs *http.Client
 }
@@ -123,34 +127,23 @@
 		cancel()
 		return result
 	}
-	n, err := readBeginning(result, resp.Body)
-	switch {
-	case errors.Is(err, io.EOF):
-		_ = resp.Body.Close()
-		cancel()
-		result.Length = n
-	case err != nil:
+	buffer, err := p.Bodies.Read(resp.Body, bodyBufferBytes)
+	if err != nil {
 		_ = resp.Body.Close()
 		cancel()
 		return failed("answer-broken", false)
-	default:
+	}
+	result.buffer, result.Body = buffer, buffer.Bytes
+	if !buffer.Complete {
 		result.Rest = &closer{ReadCloser: resp.Body, done: cancel}
+		return result
 	}
+	_ = resp.Body.Close()
+	cancel()
+	result.Length = int64(len(result.Body))
 	return result
 }
 
-// readBeginning buffers the beginning of the body and returns its length. The error is
-// io.EOF if the buffer holds the whole body.
-func readBeginning(result *Result, body io.Reader) (int64, error) {
-	var b bytes.Buffer
-	n, err := io.CopyN(&b, body, bodyBufferBytes)
-	result.Body = b.Bytes()
-	if err == nil {
-		return n, nil
-	}
-	return n, err
-}
-
 // peerFailure maps an error of a call without a response to a result. If the
 // connection could not be opened, nothing was sent, so the call has not run.
 func peerFailure(err error, timedOut bool) *Result {
@@ -203,7 +196,7 @@
 func formatMillis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
 
 // decodeCall decodes a call from another node.
-func decodeCall(r *http.Request) (*Call, error) {
+func decodeCall(r *http.Request, bodies *bodybuf.Budget) (*Call, error) {
 	fields := strings.Split(r.Header.Get(callHeader), ";")
 	if len(fields) != callFieldCount {
 		return nil, fmt.Errorf("%w: call header has %d fields", errPeer, len(fields))
@@ -236,7 +229,7 @@
 		Idempotent: fields[8] == "0",
 		Method:     fields[10], URI: r.Header.Get(uriHeader), Host: r.Host, Header: h, Length: r.ContentLength,
 	}
-	return c, readBody(c, r.Body, c.Length, maxInt64)
+	return c, readBody(c, bodies, r.Body, c.Length, maxInt64)
 }
 
 const maxInt64 = 1<<63 - 1
@@ -316,11 +309,12 @@
 
 // ServePeer runs calls from other nodes.
 func (s *Sidecar) ServePeer(w http.ResponseWriter, r *http.Request) {
-	c, err := decodeCall(r)
+	c, err := decodeCall(r, s.client.Bodies)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	defer c.buffer.Release()
 	result := s.Run(r.Context(), c)
 	h := w.Header()
 	h.Set(outcomeHeader, result.encodeOutcome())
--- a/pkg/relay/probe.go
+++ b/pkg/relay/probe.go
@@ -122,9 +122,7 @@
 		}
 		return fmt.Errorf("probe: %w", err)
 	}
-	if resp.Rest != nil {
-		_ = resp.Rest.Close()
-	}
+	resp.Close()
 	if s.Down() {
 		s.MarkUp()
 	}
--- a/pkg/relay/requestbody.go
+++ b/pkg/relay/requestbody.go
@@ -13,7 +13,7 @@
 		return nil
 	}
 	in.setReadDeadline(w, r, rs.deadline)
-	err := readBody(&rs.call, r.Body, r.ContentLength, limit)
+	err := readBody(&rs.call, in.Bodies, r.Body, r.ContentLength, limit)
 	if err == nil {
 		// The server continues to read in order to detect that the caller disconnects.
 		in.setReadDeadline(w, r, time.Time{})
--- a/pkg/relay/requeststate.go
+++ b/pkg/relay/requeststate.go
@@ -65,6 +65,22 @@
 	return e.requestAge(timeout)
 }
 
+// setErrorResponse replaces the last error response.
+func (rs *requestState) setErrorResponse(r *Result) {
+	if rs.errorResponse != nil {
+		rs.errorResponse.close()
+	}
+	rs.errorResponse = r
+}
+
+// close releases the buffers of the request and of its last error response.
+func (rs *requestState) close() {
+	rs.call.buffer.Release()
+	if rs.errorResponse != nil {
+		rs.errorResponse.close()
+	}
+}
+
 // finalResult returns the result for the caller: an upstream's response if there is
 // one, and never "not run" if an earlier attempt may have run.
 func (rs *requestState) finalResult(last *Result) *Result {
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -147,7 +147,10 @@
 		s.release(r, completed)
 		return result
 	}
-	result.Rest = &closer{ReadCloser: result.Rest, done: func() { cancel(); s.release(r, completed) }}
+	rest := &closer{ReadCloser: result.Rest, done: func() { cancel(); s.release(r, completed) }}
+	// A reader may leave no room for more of the body.
+	context.AfterFunc(ctx, func() { _ = rest.Close() })
+	result.Rest = s.client.Bodies.ReadAhead(rest, maxAheadBytes)
 	return result
 }
 
@@ -170,7 +173,7 @@
 	if l, ok := s.names.ParseLoad(resp.Header.Get(s.names.Load)); ok {
 		s.RecordLoad(l)
 	}
-	result := &Result{Kind: Completed, Status: resp.Status, Header: endToEnd(resp.Header), Body: resp.Body, Rest: resp.Rest, Length: resp.Length}
+	result := &Result{Kind: Completed, Status: resp.Status, Header: endToEnd(resp.Header), Body: resp.Body, Rest: resp.Rest, Length: resp.Length, buffer: resp.Buffer}
 	switch {
 	case resp.NotRun && !resp.Matched:
 		result.close()
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mulberrytray/mulberrytray/pkg/announce"
+	"github.com/mulberrytray/mulberrytray/pkg/bodybuf"
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/exchange"
 	"github.com/mulberrytray/mulberrytray/pkg/gate"
@@ -74,6 +75,9 @@
 	}
 }
 
+// SetBodies limits the memory for bodies. It must be called before the first call.
+func (s *Sidecar) SetBodies(b *bodybuf.Budget) { s.client.Bodies = b }
+
 func (s *Sidecar) now() time.Duration { return time.Since(s.start) }
 
 // ApplyAnnouncement applies an announcement of the upstream. The announcement is in
