Notice a restored log in fleets without the platform

Cause: a node keeps the offset of its next record. After a restore of the log from an earlier copy, offsets are assigned again, so two nodes could hold different intents under one version, without an event.

Change: reads of the log return the number of its history, which grows with each restore. A node that reads a later history logs 1108, keeps the version in force, and replays the log anew; a version confirmed since replaces a lost one with the same number. Nodes exchange records and states only within one history; a state of a later one replaces the own. Reads from an earlier history fail. Logs without the number are treated as before. The stand-in can be restored. MergeRecords takes the history, so two calls in tests name it.

--- a/internal/standin/platformlog/platformlog.go
+++ b/internal/standin/platformlog/platformlog.go
@@ -19,6 +19,8 @@
 
 	mu      sync.Mutex
 	streams map[string]*stream
+	// history is the number of restores from an earlier copy plus 1.
+	history uint64
 	faults  Faults
 	// appends is the number of appends in appendSecond (Unix time).
 	appendSecond int64
@@ -38,7 +40,7 @@
 
 // New returns an empty log that stores records for the retention period.
 func New(retention time.Duration) *Server {
-	return &Server{retention: retention, streams: map[string]*stream{}}
+	return &Server{retention: retention, streams: map[string]*stream{}, history: 1}
 }
 
 // SetFaults replaces the injected faults.
@@ -48,6 +50,16 @@
 	s.faults = f
 }
 
+// Restore takes back the newest records of a stream, as a restore from an earlier copy does.
+// Their offsets are assigned again.
+func (s *Server) Restore(stream string, lost int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(stream)
+	st.records = st.records[:max(0, len(st.records)-lost)]
+	s.history++
+}
+
 func (s *Server) getFaults() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -122,7 +134,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(r.PathValue("stream"))
-	resp := httplog.ReadResponse{Earliest: st.earliest, End: st.earliest + uint64(s.visibleRecords(st))}
+	resp := httplog.ReadResponse{Earliest: st.earliest, End: st.earliest + uint64(s.visibleRecords(st)), History: s.history}
 	size := 0
 	for o := max(from, st.earliest); o < resp.End && len(resp.Records) < limit && size < maxReadResponseBytes; o++ {
 		data := st.records[o-st.earliest].data
--- a/internal/standin/platformlog/platformlog_test.go
+++ b/internal/standin/platformlog/platformlog_test.go
@@ -53,6 +53,25 @@
 	}
 }
 
+// Guards against a restored log that clients can't tell from the one before.
+func TestRestoreStartsAnotherHistory(t *testing.T) {
+	s, _, l := start(t)
+	for _, data := range []string{"a", "b"} {
+		if _, err := l.Append(t.Context(), "config", []byte(data)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	before, err := l.Read(t.Context(), "config", 0, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Restore("config", 1)
+	after, err := l.Read(t.Context(), "config", 0, 10)
+	if err != nil || before.History == 0 || after.History <= before.History || after.End != 1 {
+		t.Errorf("history %d, then %d with end %d, error %v", before.History, after.History, after.End, err)
+	}
+}
+
 // Guards against a limit on appends that is not enforced.
 func TestAppendLimit(t *testing.T) {
 	s, l, _ := start(t)
--- a/pkg/configlog/checkpoint.go
+++ b/pkg/configlog/checkpoint.go
@@ -111,6 +111,8 @@
 		return true
 	}
 	if state != nil && checkConsistent(r.replay.state, state) == nil {
+		// The log may have been restored after the checkpoint was written.
+		state.LogHistory = r.replay.state.LogHistory
 		r.replay = NewReplay(state)
 		r.gap = false
 		r.install()
--- a/pkg/configlog/configlog.go
+++ b/pkg/configlog/configlog.go
@@ -39,6 +39,10 @@
 	// End is the offset of the next append.
 	End     uint64
 	Entries []Entry
+	// History is the number of the log's history. It grows when the log is restored from an
+	// earlier copy, because its offsets are then assigned again. 0 if the log has no such
+	// number.
+	History uint64
 }
 
 // Log is the port to the platform's log. Implementations are safe for
--- a/pkg/configlog/fake_test.go
+++ b/pkg/configlog/fake_test.go
@@ -18,7 +18,9 @@
 	mu       sync.Mutex
 	earliest uint64
 	records  [][]byte
-	appends  int
+	// history grows when update takes records away, as a restore from an earlier copy does.
+	history uint64
+	appends int
 
 	down         bool
 	delay        time.Duration
@@ -68,7 +70,7 @@
 	if l.staleBy != nil {
 		visible = max(0, visible-l.staleBy())
 	}
-	b := configlog.Batch{Earliest: l.earliest, End: l.earliest + uint64(visible)}
+	b := configlog.Batch{Earliest: l.earliest, End: l.earliest + uint64(visible), History: 1 + l.history}
 	for o := max(from, l.earliest); o < b.End && len(b.Entries) < limit; o++ {
 		b.Entries = append(b.Entries, configlog.Entry{Offset: o, Data: l.records[o-l.earliest]})
 	}
@@ -86,7 +88,11 @@
 func (l *fakeLog) update(change func(*fakeLog)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	end := l.earliest + uint64(len(l.records))
 	change(l)
+	if l.earliest+uint64(len(l.records)) < end {
+		l.history++
+	}
 }
 
 func (l *fakeLog) checkpoints() int {
--- a/pkg/configlog/httplog/client.go
+++ b/pkg/configlog/httplog/client.go
@@ -3,7 +3,9 @@
 // Protocol of the platform's log:
 //
 //	POST /streams/{stream}/records            body: record   -> {"offset": N}
-//	GET  /streams/{stream}/records?from=N&limit=M            -> {"earliest": E, "end": F, "records": [{"offset": N, "data": base64}]}
+//	GET  /streams/{stream}/records?from=N&limit=M            -> {"earliest": E, "end": F, "history": H, "records": [{"offset": N, "data": base64}]}
+//
+// H grows when the log is restored from an earlier copy; a log without it sends none.
 package httplog
 
 import (
@@ -35,9 +37,11 @@
 
 // ReadResponse is the body of the response to a read.
 type ReadResponse struct {
-	Earliest uint64       `json:"earliest"`
-	End      uint64       `json:"end"`
-	Records  []ReadRecord `json:"records"`
+	Earliest uint64 `json:"earliest"`
+	End      uint64 `json:"end"`
+	// History is the number of the log's history, see configlog.Batch.
+	History uint64       `json:"history"`
+	Records []ReadRecord `json:"records"`
 }
 
 // ReadRecord is one record in a ReadResponse.
@@ -110,7 +114,7 @@
 	if err := decode(resp.Body, &out); err != nil {
 		return configlog.Batch{}, fmt.Errorf("read %s: %w: %w", stream, configlog.ErrUnavailable, err)
 	}
-	b := configlog.Batch{Earliest: out.Earliest, End: out.End}
+	b := configlog.Batch{Earliest: out.Earliest, End: out.End, History: out.History}
 	for _, r := range out.Records {
 		b.Entries = append(b.Entries, configlog.Entry{Offset: r.Offset, Data: r.Data})
 	}
--- a/pkg/configlog/recent_test.go
+++ b/pkg/configlog/recent_test.go
@@ -27,7 +27,7 @@
 		if size := totalBytes(records); size > 4096 {
 			t.Fatalf("version %d: %d bytes for one change", v+1, size)
 		}
-		if err := target.MergeRecords(records); err != nil {
+		if err := target.MergeRecords(source.LogHistory(), records); err != nil {
 			t.Fatal(err)
 		}
 		if !proto.Equal(target.Current().State, source.Current().State) {
@@ -53,7 +53,7 @@
 	if len(records) != 1 {
 		t.Fatalf("%d records from offset 1, want 1", len(records))
 	}
-	if err := target.MergeRecords(records); err == nil {
+	if err := target.MergeRecords(source.LogHistory(), records); err == nil {
 		t.Error("a gap was accepted")
 	}
 	if target.NextOffset() != 0 || target.Current().Version != 0 {
--- a/pkg/configlog/replica.go
+++ b/pkg/configlog/replica.go
@@ -22,7 +22,8 @@
 // Snapshot is the active configuration of a node. It is immutable.
 type Snapshot struct {
 	// Version is the active version. It is lower than State.Version if this node
-	// cannot parse the intent of State.Version.
+	// cannot parse the intent of State.Version, and higher while the log has lost the
+	// version by a restore from an earlier copy.
 	Version uint64
 	// Intent is the active intent, or nil before the first confirmed version.
 	Intent *intent.Intent
@@ -30,6 +31,11 @@
 	State *pb.ConfigState
 	// Installed is when the version became active on this node.
 	Installed time.Time
+
+	// history is the number of the log's history that the version comes from, and yaml the
+	// text of its intent.
+	history uint64
+	yaml    string
 }
 
 // Replica tails the log, replays its records and holds the active configuration. It
@@ -138,6 +144,9 @@
 	if err != nil {
 		return false, err
 	}
+	if changed, err := r.observeHistory(from, batch); changed || err != nil {
+		return false, err
+	}
 	if batch.Earliest > from {
 		return r.recoverFromGap(ctx, batch)
 	}
@@ -214,19 +223,25 @@
 	}
 }
 
-// install makes the replayed state current. The version never decreases. The caller
-// holds mu.
+// install makes the replayed state current. The version never decreases. If the log was
+// restored, a version with the number of the active one replaces it, because operators
+// confirmed it later. The caller holds mu.
 func (r *Replica) install() {
 	old := r.Current()
 	state := r.replay.State()
-	if state.Version < old.Version {
+	restored := state.LogHistory != old.history
+	if state.Version < old.Version && !restored {
 		return
 	}
-	next := &Snapshot{Version: old.Version, Intent: old.Intent, State: state, Installed: old.Installed}
-	if state.Version > old.Version {
-		r.installIntent(next)
+	next := *old
+	next.State = state
+	switch {
+	case state.Version > old.Version || state.Version == old.Version && restored && state.IntentYaml != old.yaml:
+		r.installIntent(&next)
+	case state.Version == old.Version:
+		next.history = state.LogHistory
 	}
-	r.current.Store(next)
+	r.current.Store(&next)
 }
 
 // installIntent sets the snapshot's version and intent from its state. If the
@@ -238,6 +253,7 @@
 		return
 	}
 	next.Version, next.Intent, next.Installed = next.State.Version, in, time.Now()
+	next.history, next.yaml = next.State.LogHistory, next.State.IntentYaml
 	r.events.Emit(event.ConfigInstalled, event.Fields{"version": next.Version})
 }
 
@@ -257,6 +273,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.mergeOtherHistory(state) {
+		return nil
+	}
 	if err := checkConsistent(r.replay.state, state); err != nil {
 		return fmt.Errorf("merge snapshot of a peer: %w", err)
 	}
@@ -281,8 +300,12 @@
 func (r *Replica) NextOffset() uint64 { return r.nextOffset() }
 
 // MergeRecords applies records received from a peer. Records that are already
-// applied are skipped. A gap is an error; records after it are not applied.
-func (r *Replica) MergeRecords(entries []Entry) error {
+// applied are skipped. A gap is an error; records after it are not applied. Records of
+// another history of the log are ignored: their offsets mean other records here.
+func (r *Replica) MergeRecords(history uint64, entries []Entry) error {
+	if !r.joinHistory(history) {
+		return nil
+	}
 	if err := r.apply(entries); err != nil {
 		return fmt.Errorf("merge records of a peer: %w", err)
 	}
--- a/pkg/node/control.go
+++ b/pkg/node/control.go
@@ -166,7 +166,7 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	resp, err := n.peers.FetchSnapshot(ctx, address, &pb.FetchSnapshotRequest{
-		HaveVersion: n.replica.Current().Version, HaveOffset: n.replica.NextOffset(),
+		HaveVersion: n.replica.Current().Version, HaveOffset: n.replica.NextOffset(), HaveHistory: n.replica.LogHistory(),
 	})
 	if err != nil {
 		return err
@@ -174,7 +174,7 @@
 	n.agent.ChargeFetch(proto.Size(resp))
 	switch {
 	case len(resp.Records) > 0:
-		err = n.replica.MergeRecords(entries(resp.Records))
+		err = n.replica.MergeRecords(resp.LogHistory, entries(resp.Records))
 	case len(resp.Snapshot) > 0:
 		err = n.replica.MergeState(resp.Snapshot)
 	}
@@ -228,9 +228,11 @@
 	if cur.Version <= r.HaveVersion {
 		return &pb.FetchSnapshotResponse{}, nil
 	}
-	resp := &pb.FetchSnapshotResponse{}
-	for _, e := range n.replica.RecordsFrom(r.HaveOffset) {
-		resp.Records = append(resp.Records, &pb.LogRecord{Offset: e.Offset, Data: e.Data})
+	resp := &pb.FetchSnapshotResponse{LogHistory: cur.State.LogHistory}
+	if r.HaveHistory == 0 || r.HaveHistory == resp.LogHistory {
+		for _, e := range n.replica.RecordsFrom(r.HaveOffset) {
+			resp.Records = append(resp.Records, &pb.LogRecord{Offset: e.Offset, Data: e.Data})
+		}
 	}
 	if len(resp.Records) == 0 {
 		data, err := proto.Marshal(cur.State)
