Keep the departure of an upstream across restarts of its node

Cause: a node forgets with its process that the upstream beside it has announced its departure. The next process took an upstream that still answered its health check with 200 for a ready one, and all nodes sent requests to it again.

Change: a node sends the departure of its upstream to all others, in a datagram of its own that earlier versions skip. They keep it, and send it to the node's next process when its first status arrives. That process then waits for an announcement of a later start.

Left: if all nodes restart at the same time, nobody remembers it.

--- a/pkg/mesh/gossip.go
+++ b/pkg/mesh/gossip.go
@@ -56,6 +56,10 @@
 	status func() roster.Status
 	// onStatus is called for each received status that was not ignored.
 	onStatus func(roster.Status, roster.Change)
+	// departure returns the departure of the node's own upstream, if there is one.
+	departure func() (roster.Departure, bool)
+	// onDeparture is called when another node reports that the own upstream has left.
+	onDeparture func(roster.Departure)
 	// updates triggers a status to subscribers within the rate limits, urgent an immediate
 	// status to all members.
 	updates, urgent chan struct{}
@@ -76,6 +80,7 @@
 	return &gossip{
 		dir: dir, conn: conn, events: events, updates: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 		removed: make(chan string, unregisterQueueSize), incarnation: time.Now().UnixMilli(),
+		departure: func() (roster.Departure, bool) { return roster.Departure{}, false }, onDeparture: func(roster.Departure) {},
 		invalid: event.Limiter{Interval: invalidLogInterval},
 	}
 }
@@ -221,8 +226,12 @@
 func (g *gossip) broadcast(to scope) {
 	s := g.nextStatus()
 	g.dir.observeSelf(s)
+	d, leaves := g.departure()
 	for _, t := range g.targets(to) {
 		g.sendTo(s, t)
+		if leaves && to == toAll {
+			g.sendDeparture(d, t.address)
+		}
 	}
 }
 
@@ -293,23 +302,31 @@
 
 func (g *gossip) sendTo(s roster.Status, t target) {
 	s.ReceiverIncarnation = t.incarnation
-	address, err := netip.ParseAddrPort(t.address)
-	if err != nil {
-		g.events.Emit(event.StatusInvalid, event.Fields{"member": t.address, "error": err.Error()})
-		return
-	}
 	b, err := encodeStatus(s)
-	if err != nil {
-		g.events.Emit(event.StatusInvalid, event.Fields{"member": t.address, "error": err.Error()})
-		return
+	g.sendDatagram(b, err, t.address)
+}
+
+func (g *gossip) sendDeparture(d roster.Departure, to string) {
+	b, err := encodeDeparture(d)
+	g.sendDatagram(b, err, to)
+}
+
+// sendDatagram sends an encoded message. Messages are repeated, so an error, also that of the
+// encoding, is only logged.
+func (g *gossip) sendDatagram(b []byte, err error, to string) {
+	var address netip.AddrPort
+	if err == nil {
+		address, err = netip.ParseAddrPort(to)
+	}
+	if err == nil {
+		_, err = g.conn.WriteToUDPAddrPort(b, address)
 	}
-	// The next status replaces a lost one, so an error is only logged.
-	if _, err := g.conn.WriteToUDPAddrPort(b, address); err != nil && !errors.Is(err, net.ErrClosed) {
-		g.events.Emit(event.StatusInvalid, event.Fields{"member": t.address, "error": err.Error()})
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		g.events.Emit(event.StatusInvalid, event.Fields{"member": to, "error": err.Error()})
 	}
 }
 
-// receiveLoop receives statuses until the connection is closed.
+// receiveLoop receives statuses and departures until the connection is closed.
 func (g *gossip) receiveLoop() {
 	b := make([]byte, maxStatusBytes)
 	for {
@@ -321,15 +338,40 @@
 			// ICMP errors for datagrams to members that are down are returned here.
 			continue
 		}
-		s, err := decodeStatus(b[:n])
-		if err != nil {
+		if err := g.receive(b[:n]); err != nil {
 			if suppressed, ok := g.invalid.Allow(time.Now()); ok {
 				g.events.Emit(event.StatusInvalid, event.Fields{"member": from.String(), "error": err.Error(), "suppressed": suppressed})
 			}
-			continue
 		}
+	}
+}
+
+// receive handles the message in a datagram.
+func (g *gossip) receive(b []byte) error {
+	if len(b) > 0 && b[0] == departurePrefix {
+		d, err := decodeDeparture(b)
+		if err == nil {
+			g.receiveDeparture(d)
+		}
+		return err
+	}
+	s, err := decodeStatus(b)
+	if err == nil {
 		g.receiveStatus(s)
 	}
+	return err
+}
+
+// receiveDeparture stores the departure of another node's upstream, and passes on that of the
+// own one.
+func (g *gossip) receiveDeparture(d roster.Departure) {
+	if d.Address == g.dir.self {
+		g.onDeparture(d)
+		return
+	}
+	g.dir.mu.Lock()
+	defer g.dir.mu.Unlock()
+	g.dir.roster.RecordDeparture(d)
 }
 
 // receiveStatus stores a received status. If the sender doesn't have this node's current
@@ -341,7 +383,11 @@
 	}
 	g.dir.mu.Lock()
 	change := g.dir.roster.Observe(g.dir.now(), s)
+	departure, missed := g.dir.roster.Member(s.Address).MissedDeparture(s, change)
 	g.dir.mu.Unlock()
+	if missed {
+		g.sendDeparture(departure, s.Address)
+	}
 	g.mu.Lock()
 	own := g.incarnation
 	if s.ReceiverIncarnation > own {
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -115,6 +115,7 @@
 	n.sidecar.SetBodies(n.bodies)
 	n.dir.sidecar = n.sidecar
 	n.gossip.status, n.gossip.onStatus = n.status, n.handleStatus
+	n.gossip.departure, n.gossip.onDeparture = n.departure, n.handleDeparture
 	n.peers = relay.NewHTTPPeers()
 	n.peers.Bodies = n.bodies
 	n.ingress = &relay.Ingress{
@@ -238,6 +239,18 @@
 	}
 }
 
+// departure returns the departure of the upstream beside the node, if it has announced one.
+func (n *Node) departure() (roster.Departure, bool) {
+	id, start, leaves := n.sidecar.Departure()
+	return roster.Departure{Address: n.settings.PeerAddress, Upstream: id, StartUnixMillis: start}, leaves && start > 0
+}
+
+// handleDeparture stops the use of the upstream beside the node if it has left. Another node
+// remembers this from before this process started.
+func (n *Node) handleDeparture(d roster.Departure) {
+	n.sidecar.ApplyStop(d.Upstream, d.StartUnixMillis)
+}
+
 // handleStatus processes a status of another node: it passes the suspects to the sidecar,
 // logs changes of the membership, records the
 // store's history and requests a newer configuration.
--- a/pkg/mesh/status.go
+++ b/pkg/mesh/status.go
@@ -83,3 +83,38 @@
 	}
 	return list, nil
 }
+
+// departureFieldCount is the number of fields in the array of an encoded departure. It tells
+// departures from statuses.
+const departureFieldCount = 3
+
+// departurePrefix is the first byte of an encoded departure: an array of that length.
+const departurePrefix = 0x90 | departureFieldCount
+
+// encodeDeparture encodes a departure as an array.
+func encodeDeparture(d roster.Departure) ([]byte, error) {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseArrayEncodedStructs(true)
+	if err := e.Encode(&d); err != nil {
+		return nil, fmt.Errorf("encode departure: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+// decodeDeparture decodes and checks a departure that fills the datagram.
+func decodeDeparture(b []byte) (roster.Departure, error) {
+	var d roster.Departure
+	r := bytes.NewReader(b)
+	decoder := msgpack.NewDecoder(r)
+	if n, err := decoder.DecodeArrayLen(); err != nil || n != departureFieldCount {
+		return d, fmt.Errorf("%w: departure of %d fields: %w", roster.ErrInvalid, n, err)
+	}
+	if err := decoder.DecodeMulti(&d.Address, &d.Upstream, &d.StartUnixMillis); err != nil {
+		return d, fmt.Errorf("decode departure: %w", err)
+	}
+	if r.Len() > 0 {
+		return d, fmt.Errorf("%w: %d bytes follow a departure", roster.ErrInvalid, r.Len())
+	}
+	return d, d.Validate(time.Now())
+}
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -110,6 +110,15 @@
 	return verdict
 }
 
+// Departure returns the id and the start time of the upstream if it has announced that it
+// leaves. The start time is zero if it is not known.
+func (s *Sidecar) Departure() (id string, startUnixMillis int64, leaves bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cur := s.tracker.Current()
+	return cur.ID, cur.StartUnixMillis, cur.State == announce.Draining || cur.State == announce.Gone
+}
+
 func upstreamEvent(st announce.State) event.Event {
 	if st == announce.Ready {
 		return event.UpstreamReady
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -87,6 +87,9 @@
 	// AvoidedUntil is the time until which requests avoid the node, because a request to
 	// it failed.
 	AvoidedUntil time.Duration
+	// Departure is the last upstream at the node that has left, unless another one has
+	// followed.
+	Departure Departure
 }
 
 // Change is the effect of a status on the roster.
@@ -143,6 +146,9 @@
 		m.AvoidedUntil, m.Slowdown = 0, slowdown.Estimator{}
 	}
 	m.recordSlowdown(now)
+	if s.Upstream.Accepting && s.Upstream.ID != m.Departure.Upstream {
+		m.Departure = Departure{}
+	}
 	if old.Incarnation == 0 || old.Domain != s.Domain || old.Service != s.Service {
 		r.generation++
 	}
