Report the failure of an upstream's connection before the body is sent

A dump of the goroutines shows why: its upstream closes each connection after the response, the next request goes out on a connection that is just being closed, and http.Transport returns the error only once it has sent or closed the request's body. Both wait for the caller, which waits for 100 Continue.

Change: the sidecar does not read the rest of a body when the transport closes it, and a closed upstream connection interrupts the reading of the body. A request is not sent on a reused connection that the upstream has already closed; it then has certainly not run. In TestBidirectionalStreaming the upstream keeps its connections open: on one that closes while the request is on its way, 502 is the right answer.

Not changed: the transports between nodes can wait in the same way for a caller that stalls in the middle of a long body, until its deadline.

--- a/pkg/sidecar/dispatch.go
+++ b/pkg/sidecar/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -36,7 +37,12 @@
 	a, _ := s.lease.get(time.Now())
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	c.gate = &writeGate{cancel: cancel, check: func() *outcome.Problem { return s.blocked(r.Context(), a.Incarnation) }}
+	c.gate = &writeGate{
+		cancel: cancel, check: func() *outcome.Problem { return s.blocked(r.Context(), a.Incarnation) },
+		ended:         func() bool { return r.Context().Err() != nil },
+		interruptBody: func() { _ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) },
+	}
+	defer c.gate.finish()
 	if c.problem = c.gate.check(); c.problem != nil {
 		return
 	}
@@ -134,6 +140,8 @@
 	stream.StripInternal(out.Header)
 	out.Trailer = r.Trailer // filled while the body is read, so it must be the same map
 	out.GetBody, out.Close = nil, false
+	// Closing the server's body would read the rest of it, which the caller may never send.
+	out.Body = io.NopCloser(r.Body)
 	if r.ContentLength == 0 {
 		out.Body = nil
 	}
@@ -151,6 +159,8 @@
 
 // roundTripFailure returns the problem of a round trip without a response.
 func (s *Sidecar) roundTripFailure(ctx context.Context, c *call, a Announcement, err error) *outcome.Problem {
+	ctx, cancel := c.gate.failureContext(ctx)
+	defer cancel()
 	result := outcome.NotRun
 	if c.gate.seal() {
 		result = outcome.Unknown
--- a/pkg/sidecar/writegate.go
+++ b/pkg/sidecar/writegate.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 
 	"github.com/mulberrytray/mulberrytray/pkg/outcome"
+	"github.com/mulberrytray/mulberrytray/pkg/recvbuf"
 )
 
 // errNotSent is returned by writes of a request that must not be sent or resent.
@@ -32,7 +33,16 @@
 	// reused is set if the connection has carried an earlier request.
 	reused atomic.Bool
 
+	// ended reports whether the caller has left or the deadline has passed, and interruptBody
+	// ends the reading of the request's body.
+	ended         func() bool
+	interruptBody func()
+
 	mu sync.Mutex
+	// finished is set when the request's handler returns.
+	finished bool
+	// interrupted is set once interruptBody was called.
+	interrupted bool
 	// conn is the only connection on which writes are allowed, nil before the first write.
 	conn   *gatedConn
 	sealed bool
@@ -48,6 +58,10 @@
 		return nil
 	}
 	if g.conn == nil && !g.sealed {
+		if g.reused.Load() && recvbuf.Check(c.Conn) != recvbuf.Empty {
+			// The upstream has closed the idle connection. The transport may use another one.
+			return errNotSent
+		}
 		g.rejection = g.check()
 		if g.rejection == nil {
 			g.conn = c
@@ -59,6 +73,36 @@
 	return errNotSent
 }
 
+// finish ends the effect of the gate on the caller's connection.
+func (g *writeGate) finish() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.finished = true
+}
+
+// connectionClosed interrupts the reading of the body. Otherwise the transport, which waits
+// until it has sent the body, would report the failure only when the caller sends more of it.
+func (g *writeGate) connectionClosed(c *gatedConn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conn == c && !g.finished && !g.ended() {
+		g.interrupted = true
+		g.interruptBody()
+	}
+}
+
+// failureContext returns the request's context for the time after a failed round trip. An
+// interrupted body cancels the request's own context, as if the caller had left.
+func (g *writeGate) failureContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.interrupted {
+		return context.WithCancel(ctx)
+	}
+	deadline, _ := ctx.Deadline()
+	return context.WithDeadline(context.WithoutCancel(ctx), deadline)
+}
+
 // seal prevents a first write from now on. It reports whether part of the request
 // may have been written already.
 func (g *writeGate) seal() (sent bool) {
@@ -149,6 +193,15 @@
 	return c.Conn.Write(b)
 }
 
+// Close implements net.Conn.
+func (c *gatedConn) Close() error {
+	err := c.Conn.Close()
+	if g := c.gate.Load(); g != nil {
+		g.connectionClosed(c)
+	}
+	return err
+}
+
 // dialGated opens a connection to the upstream.
 func dialGated(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
