Let connections of the relay's tests take longer than a stall

Cause: TestFailureOfTheFirstUpstream failed when its process stood still for more than the 300 or 400 ms that a dial may take: the retry is then rejected, which is right for a node that can't be reached in that time, but not what the test is about.

Change: the time limit of a dial is a field of the exchange and of the client for other nodes; the tests set 10 s.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -37,8 +37,8 @@
 )
 
 const (
-	// dialTimeout bounds connecting to the upstream on the same VM.
-	dialTimeout = 300 * time.Millisecond
+	// defaultDialTimeout bounds connecting to the upstream on the same VM.
+	defaultDialTimeout = 300 * time.Millisecond
 	// defaultKeepAlive is how long an idle connection is kept if the upstream
 	// sends no Keep-Alive timeout.
 	defaultKeepAlive = 4 * time.Second
@@ -121,6 +121,8 @@
 type Client struct {
 	// Bodies limits the memory for responses.
 	Bodies *bodybuf.Budget
+	// DialTimeout bounds connecting to the upstream.
+	DialTimeout time.Duration
 
 	// maxBody limits the body of a response.
 	maxBody int64
@@ -133,7 +135,11 @@
 
 // NewClient returns a client for the upstream at the address.
 func NewClient(address string) *Client {
-	return &Client{address: address, maxBody: maxBodyBytes, dial: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	c := &Client{address: address, maxBody: maxBodyBytes, DialTimeout: defaultDialTimeout}
+	c.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		return (&net.Dialer{Timeout: c.DialTimeout}).DialContext(ctx, network, address)
+	}
+	return c
 }
 
 type conn struct {
@@ -189,7 +195,7 @@
 
 // CheckReachable returns an error if the upstream accepts no connections.
 func (c *Client) CheckReachable() error {
-	n, err := net.DialTimeout("tcp", c.address, dialTimeout)
+	n, err := net.DialTimeout("tcp", c.address, c.DialTimeout)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrConnRefused, err)
 	}
--- a/pkg/relay/helper_test.go
+++ b/pkg/relay/helper_test.go
@@ -90,9 +90,13 @@
 	}
 }
 
+// testDialTimeout lets connections succeed on a machine that stalls.
+const testDialTimeout = 10 * time.Second
+
 // newTestSidecar returns a sidecar whose upstream is ready with the given slots.
 func newTestSidecar(u *fakeUpstream, slots int) *Sidecar {
 	s := NewSidecar(testNames, "svc", u.listener.Addr().String(), event.Discard(), func() {}, func() {})
+	s.client.DialTimeout = testDialTimeout
 	s.ApplyAnnouncement(announce.Announcement{ID: "u1", State: announce.Ready, Slots: slots, StartUnixMillis: 1, Sequence: 1})
 	return s
 }
@@ -135,7 +139,7 @@
 func newTestIngress(t *testing.T, addresses ...string) *Ingress {
 	t.Helper()
 	in := &Ingress{
-		Names: testNames, Service: "caller-svc", Dir: listDirectory{addresses}, Peers: NewHTTPPeers(),
+		Names: testNames, Service: "caller-svc", Dir: listDirectory{addresses}, Peers: newHTTPPeers(testDialTimeout),
 		Events: event.Discard(), Metrics: metrics.NewRegistry(),
 	}
 	in.Provision()
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -71,10 +71,13 @@
 }
 
 // NewHTTPPeers returns an HTTPPeers, which opens connections on demand.
-func NewHTTPPeers() *HTTPPeers {
+func NewHTTPPeers() *HTTPPeers { return newHTTPPeers(peerDialTimeout) }
+
+// newHTTPPeers bounds connecting to another node by dialTimeout.
+func newHTTPPeers(dialTimeout time.Duration) *HTTPPeers {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	dialer := net.Dialer{Timeout: peerDialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout}
 	// The transport requests compressed responses and decompresses them.
 	configs := &http.Client{
 		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeaderBytes},
