Recognise a second copy of a response in fleets without the platform

Cause: operators of similar systems report that an upstream sent a second copy of a response late, on a connection that was in use again. The mesh node compares ids; the sidecar of mtnode did so for refusals only.

Change: a connection keeps the ids of its last 16 requests. A response that repeats one of them instead of its own request's id ends the connection; the caller gets 502 with an unknown outcome.

--- a/pkg/sidecar/dispatch.go
+++ b/pkg/sidecar/dispatch.go
@@ -38,7 +38,7 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	c.gate = &writeGate{
-		cancel: cancel, check: func() *outcome.Problem { return s.blocked(r.Context(), a.Incarnation) },
+		requestID: c.forwarded.requestID, cancel: cancel, check: func() *outcome.Problem { return s.blocked(r.Context(), a.Incarnation) },
 		ended:         func() bool { return r.Context().Err() != nil },
 		interruptBody: func() { _ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) },
 	}
@@ -54,6 +54,10 @@
 		return
 	}
 	defer resp.Body.Close()
+	if c.gate.closeIfRepeated(resp.Header.Get(outcome.HeaderRequestID)) {
+		c.problem = outcome.New(http.StatusBadGateway, outcome.ReasonInvalidAnswer, outcome.Unknown, "the upstream answered an earlier request again")
+		return
+	}
 	if c.problem = invalidResponse(r.Method, resp); c.problem != nil {
 		return
 	}
--- a/pkg/sidecar/writegate.go
+++ b/pkg/sidecar/writegate.go
@@ -33,6 +33,8 @@
 	// reused is set if the connection has carried an earlier request.
 	reused atomic.Bool
 
+	// requestID is the id of the request.
+	requestID string
 	// ended reports whether the caller has left or the deadline has passed, and interruptBody
 	// ends the reading of the request's body.
 	ended         func() bool
@@ -65,6 +67,7 @@
 		g.rejection = g.check()
 		if g.rejection == nil {
 			g.conn = c
+			c.recordRequest(g.requestID)
 			return nil
 		}
 		g.sealed = true
@@ -139,6 +142,19 @@
 	return c.recordRefusal(id) && (!g.reused.Load() || id == echoed)
 }
 
+// closeIfRepeated closes the connection if the response with the echoed id is a second copy of
+// the response to an earlier request. It reports whether it is one.
+func (g *writeGate) closeIfRepeated(echoed string) bool {
+	g.mu.Lock()
+	c := g.conn
+	g.mu.Unlock()
+	if c == nil || echoed == "" || echoed == g.requestID || !c.carried(echoed) {
+		return false
+	}
+	_ = c.Conn.Close()
+	return true
+}
+
 // gatedConn is an upstream connection on which the gate of the current request checks
 // each write.
 type gatedConn struct {
@@ -149,19 +165,41 @@
 	// refusedIDs are the hashes of the ids of the requests that the upstream refused on
 	// this connection.
 	refusedIDs []uint64
+	// recentIDs are the hashes of the ids of the last requests on this connection.
+	recentIDs []uint64
+}
+
+// maxRecentIDs is the number of requests on a connection whose responses are recognised if
+// they arrive a second time.
+const maxRecentIDs = 16
+
+func (c *gatedConn) recordRequest(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recentIDs = append(c.recentIDs, maphash.String(requestIDSeed, id))
+	if len(c.recentIDs) > maxRecentIDs {
+		c.recentIDs = slices.Delete(c.recentIDs, 0, 1)
+	}
+}
+
+// carried reports whether a recent request on the connection had the id.
+func (c *gatedConn) carried(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.recentIDs, maphash.String(requestIDSeed, id))
 }
 
 // maxRefusedIDs is the number of refusals after which a connection is closed.
 const maxRefusedIDs = 1024
 
-var refusedIDSeed = maphash.MakeSeed()
+var requestIDSeed = maphash.MakeSeed()
 
 // recordRefusal reports whether no request with the id was refused on the connection
 // before.
 func (c *gatedConn) recordRefusal(id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	hash := maphash.String(refusedIDSeed, id)
+	hash := maphash.String(requestIDSeed, id)
 	if slices.Contains(c.refusedIDs, hash) {
 		return false
 	}
