Receive SIGHUP from the start of the process on

Change: the receiver is the first thing that main sets up.

Result: read from the code; no test of its own, since the runtime needs a part of that time itself.

--- a/cmd/mtmesh/main.go
+++ b/cmd/mtmesh/main.go
@@ -17,7 +17,12 @@
 	"github.com/mulberrytray/mulberrytray/platform"
 )
 
+// hangups receives SIGHUP from the start of the process on: without a receiver, a signal that
+// arrives while the settings are read would end it.
+var hangups = make(chan os.Signal, 1)
+
 func main() {
+	signal.Notify(hangups, syscall.SIGHUP)
 	if err := command().Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "mtmesh:", err)
 		os.Exit(1)
@@ -58,11 +63,9 @@
 		return err
 	}
 	store := platform.NewStore(s.StoreAddress)
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	go watchSettings(ctx, path, s, hup, store, events)
+	go watchSettings(ctx, path, s, hangups, store, events)
 	return serve(ctx, s.Node, mesh.Dependencies{
 		Names: platform.HeaderNames(), Configs: store, Registry: store,
 		Announcements: platform.Announcements(s, events), Events: events, Dropped: out.Dropped,
