--- a/pkg/relay/bodymemory_test.go
+++ b/pkg/relay/bodymemory_test.go
@@ -130,13 +130,8 @@
 // postLong sends a body of bodyBufferBytes and returns the length of the response.
 func postLong(t *testing.T, server *httptest.Server, path string) int64 {
 	t.Helper()
-	req, err := http.NewRequest(http.MethodPost, server.URL+path, strings.NewReader(strings.Repeat("x", bodyBufferBytes-1)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Host = "h"
-	req.Header.Set("X-Request-Id", "1")
-	resp, err := server.Client().Do(req)
+	body := strings.NewReader(strings.Repeat("x", bodyBufferBytes-1))
+	resp, err := server.Client().Do(newRequest(t, http.MethodPost, server.URL+path, body))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/relay/broken_head_test.go
+++ b/pkg/relay/broken_head_test.go
@@ -50,13 +50,7 @@
 	server := httptest.NewServer(in)
 	defer server.Close()
 	defer in.Peers.(*HTTPPeers).client.CloseIdleConnections()
-	req, err := http.NewRequest(http.MethodGet, server.URL+path, http.NoBody)
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Host = "h"
-	req.Header.Set("X-Request-Id", "1")
-	resp, err := server.Client().Do(req)
+	resp, err := server.Client().Do(newRequest(t, http.MethodGet, server.URL+path, http.NoBody))
 	if err != nil {
 		return 0
 	}
--- a/pkg/relay/full_test.go
+++ b/pkg/relay/full_test.go
@@ -71,20 +71,3 @@
 		t.Errorf("ratio %.2f after 5 s without requests", ratio)
 	}
 }
-
-// getOnce sends a request and returns the status.
-func getOnce(t *testing.T, server *httptest.Server, path string) int {
-	t.Helper()
-	req, err := http.NewRequest(http.MethodGet, server.URL+path, http.NoBody)
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Host = "h"
-	req.Header.Set("X-Request-Id", "1")
-	resp, err := server.Client().Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode
-}
--- a/pkg/relay/helper_test.go
+++ b/pkg/relay/helper_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -170,3 +172,26 @@
 	c.n[conn]++
 	return c.n[conn]
 }
+
+// newRequest returns a request of a caller with the id "1".
+func newRequest(t *testing.T, method, url string, body io.Reader) *http.Request {
+	t.Helper()
+	req, err := http.NewRequest(method, url, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("X-Request-Id", "1")
+	return req
+}
+
+// getOnce sends a request and returns the status.
+func getOnce(t *testing.T, server *httptest.Server, path string) int {
+	t.Helper()
+	resp, err := server.Client().Do(newRequest(t, http.MethodGet, server.URL+path, http.NoBody))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
