Keep the caller's connection when the upstream closes its own

Any close of an upstream's connection interrupted the reading of the request's body, also after the whole request was sent and answered; the caller's HTTP/1.1 connection then gave 499 to all further requests. And a second copy of a response that arrived after the transport had chosen the connection, but before the request was written, was not recognised.

Change: the interruption ends once the request is sent or answered, and requests without a body have none. The connection that the transport has chosen counts, not the one that was written to; if nothing was written, the request has not run.

Result: TestUpstreamCloseKeepsCallerConnection: 499 before, 50 requests over one connection after.

--- a/pkg/relay/body.go
+++ b/pkg/relay/body.go
@@ -90,6 +90,7 @@
 	}
 	w.WriteHeader(r.Status)
 	if r.Rest == nil && len(r.Body) <= unlimitedWriteBytes {
+		// The server notices an error when it sends its buffer.
 		_, _ = w.Write(r.Body)
 		return
 	}
--- a/pkg/sidecar/dispatch.go
+++ b/pkg/sidecar/dispatch.go
@@ -39,23 +39,29 @@
 	defer cancel()
 	c.gate = &writeGate{
 		requestID: c.forwarded.requestID, cancel: cancel, check: func() *outcome.Problem { return s.blocked(r.Context(), a.Incarnation) },
-		ended:         func() bool { return r.Context().Err() != nil },
-		interruptBody: func() { _ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) },
+		ended: func() bool { return r.Context().Err() != nil },
+	}
+	if r.ContentLength != 0 {
+		c.gate.interruptBody = func() { _ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) }
 	}
-	defer c.gate.finish()
 	if c.problem = c.gate.check(); c.problem != nil {
 		return
 	}
 	c.replaced = s.lease.replacement()
 	prepareConnection(w, r)
 	resp, err := s.transport.RoundTrip(upstreamRequest(c.gate.trace(ctx), r, a.Address, c.forwarded))
+	c.gate.finish()
 	if err != nil {
 		c.problem = s.roundTripFailure(r.Context(), c, a, err)
 		return
 	}
 	defer resp.Body.Close()
 	if c.gate.closeIfRepeated(resp.Header.Get(outcome.HeaderRequestID)) {
-		c.problem = outcome.New(http.StatusBadGateway, outcome.ReasonInvalidAnswer, outcome.Unknown, "the upstream answered an earlier request again")
+		result := outcome.NotRun
+		if c.gate.seal() {
+			result = outcome.Unknown
+		}
+		c.problem = outcome.New(http.StatusBadGateway, outcome.ReasonInvalidAnswer, result, "the upstream answered an earlier request again")
 		return
 	}
 	if c.problem = invalidResponse(r.Method, resp); c.problem != nil {
--- a/pkg/sidecar/stream_test.go
+++ b/pkg/sidecar/stream_test.go
@@ -111,6 +111,37 @@
 	}
 }
 
+// Guards against a caller's connection that is closed because the upstream closes its own after
+// a complete response.
+func TestUpstreamCloseKeepsCallerConnection(t *testing.T) {
+	u := newRawUpstream(t, respond("HTTP/1.1 200 OK\nContent-Length: 2\nConnection: close\n\nok", false))
+	server := serveSidecar(t, newSidecar(u.listener.Addr().String(), Config{}))
+	dials := 0
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		dials++
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}}
+	defer transport.CloseIdleConnections()
+	for i := range 50 {
+		method := []string{"GET", "POST"}[i%2]
+		var body io.Reader
+		if method == "POST" {
+			body = strings.NewReader("body")
+		}
+		resp, err := transport.RoundTrip(newRequest(method, server.URL, body))
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		if b, err := io.ReadAll(resp.Body); err != nil || string(b) != "ok" {
+			t.Errorf("request %d: %q, %v", i, b, err)
+		}
+		_ = resp.Body.Close()
+	}
+	if dials != 1 {
+		t.Errorf("%d connections for 50 requests, want 1", dials)
+	}
+}
+
 // Guards against an upstream restart that is not recognised as a crash, and
 // against a failure response that is sent before Config.Execute can quarantine
 // the request.
--- a/pkg/sidecar/writegate.go
+++ b/pkg/sidecar/writegate.go
@@ -32,16 +32,20 @@
 	continued atomic.Bool
 	// reused is set if the connection has carried an earlier request.
 	reused atomic.Bool
+	// selected is the connection that the transport has selected last. A response may arrive
+	// on it before the request is written.
+	selected atomic.Pointer[gatedConn]
 
 	// requestID is the id of the request.
 	requestID string
-	// ended reports whether the caller has left or the deadline has passed, and interruptBody
-	// ends the reading of the request's body.
-	ended         func() bool
+	// ended reports whether the caller has left or the deadline has passed.
+	ended func() bool
+	// interruptBody ends the reading of the request's body; nil if it has none. The caller's
+	// connection can't be used for another request afterwards.
 	interruptBody func()
 
 	mu sync.Mutex
-	// finished is set when the request's handler returns.
+	// finished is set when the request has been sent or the round trip has ended.
 	finished bool
 	// interrupted is set once interruptBody was called.
 	interrupted bool
@@ -76,7 +80,7 @@
 	return errNotSent
 }
 
-// finish ends the effect of the gate on the caller's connection.
+// finish ends the effect of the upstream's connection on that of the caller.
 func (g *writeGate) finish() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -88,7 +92,7 @@
 func (g *writeGate) connectionClosed(c *gatedConn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.conn == c && !g.finished && !g.ended() {
+	if g.conn == c && !g.finished && g.interruptBody != nil && !g.ended() {
 		g.interrupted = true
 		g.interruptBody()
 	}
@@ -121,10 +125,16 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*gatedConn); ok {
 				g.reused.Store(info.Reused)
+				g.selected.Store(c)
 				c.gate.Store(g)
 			}
 		},
 		Got100Continue: func() { g.continued.Store(true) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				g.finish()
+			}
+		},
 	})
 }
 
@@ -145,9 +155,7 @@
 // closeIfRepeated closes the connection if the response with the echoed id is a second copy of
 // the response to an earlier request. It reports whether it is one.
 func (g *writeGate) closeIfRepeated(echoed string) bool {
-	g.mu.Lock()
-	c := g.conn
-	g.mu.Unlock()
+	c := g.selected.Load()
 	if c == nil || echoed == "" || echoed == g.requestID || !c.carried(echoed) {
 		return false
 	}
