Show a configuration that is late after the store's readers are lost

Cause: only five nodes read the store, and others take their place only after three status periods of silence, which grow with the fleet.

--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -28,7 +29,11 @@
 	settings                string
 	node                    *process
 	instance                *process
-	instanceSettings        instanceSettings
+	// local is the instance if it runs in this process.
+	local            *instance
+	instanceSettings instanceSettings
+	// lastRead is when the node last began to wait for changes at the store, in Unix nanoseconds.
+	lastRead atomic.Int64
 }
 
 func (m *machine) addr(port int) string     { return fmt.Sprintf("%s:%d", m.ip, port) }
@@ -64,6 +69,9 @@
 	record   *record
 	// firstStart is set until the first restart of a node.
 	firstStart bool
+	// inProcess is set if the instances run in the process of the case, because they are not
+	// killed.
+	inProcess bool
 	// network is the second byte of the addresses.
 	network int
 
@@ -101,16 +109,26 @@
 	if err := d.choosePorts(); err != nil {
 		return nil, err
 	}
-	l, err := net.Listen("tcp", d.storeAddress())
-	if err != nil {
-		return nil, err
+	// Each machine reaches the store at an address of its own, which tells its calls apart.
+	for _, m := range d.machines {
+		l, err := net.Listen("tcp", d.storeAddress(m))
+		if err != nil {
+			return nil, err
+		}
+		go func() {
+			_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/log-read" {
+					m.lastRead.Store(time.Now().UnixNano())
+				}
+				d.store.ServeHTTP(w, r)
+			}))
+		}()
 	}
-	go func() { _ = http.Serve(l, d.store) }()
 	return d, nil
 }
 
-func (d *deployment) storeAddress() string {
-	return fmt.Sprintf("127.%d.1.1:%d", d.network, d.ports.store)
+func (d *deployment) storeAddress(m *machine) string {
+	return fmt.Sprintf("127.%d.1.%s:%d", d.network, m.name[1:], d.ports.store)
 }
 
 // choosePorts finds consecutive ports that are free on the first machine's address. The
@@ -208,7 +226,7 @@
 partition_mb = 200
 min_ttl_ms = 1000
 `, m.name, m.ip, m.zone, p.peer, p.peer+10, d.firstStart, m.addr(p.app), m.service,
-		m.addr(p.inbound), m.addr(p.outbound), m.addr(p.ready), m.addr(p.control), d.storeAddress())
+		m.addr(p.inbound), m.addr(p.outbound), m.addr(p.ready), m.addr(p.control), d.storeAddress(m))
 }
 
 // startNode starts the node of a machine. Its output goes to a file of the temporary folder.
@@ -232,6 +250,9 @@
 func (d *deployment) startInstance(m *machine, s instanceSettings) error {
 	s.Service, s.Zone, s.Address, s.Control = m.service, m.zone, m.instanceAddress(), m.controlAddress()
 	m.instanceSettings = s
+	if d.inProcess {
+		return d.serveInstance(m, s)
+	}
 	encoded, err := json.Marshal(s)
 	if err != nil {
 		return err
@@ -265,6 +286,29 @@
 	return nil
 }
 
+// serveInstance runs an instance in this process.
+func (d *deployment) serveInstance(m *machine, s instanceSettings) error {
+	l, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return err
+	}
+	m.local = newInstance(s, executionWriter{d})
+	go m.local.serve(l)
+	return nil
+}
+
+// executionWriter adds the events of an instance in this process.
+type executionWriter struct{ d *deployment }
+
+func (w executionWriter) Write(line []byte) (int, error) {
+	var e execution
+	if err := json.Unmarshal(line, &e); err != nil {
+		return 0, err
+	}
+	w.d.addExecution(e)
+	return len(line), nil
+}
+
 func (d *deployment) addExecution(e execution) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -21,6 +21,7 @@
 // without the disruption.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"truncated": truncatedAnswer,
+	"readers":   killedReaders,
 }
 
 func main() {
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -20,8 +20,6 @@
 	mu      sync.Mutex
 	topics  map[string]*topic
 	changed chan struct{}
-	// onRead is called with the remote address of each call.
-	onRead func(path, remote, topic string)
 }
 
 type topic struct {
@@ -31,7 +29,7 @@
 }
 
 func newStore() *store {
-	return &store{topics: map[string]*topic{}, changed: make(chan struct{}), onRead: func(string, string, string) {}}
+	return &store{topics: map[string]*topic{}, changed: make(chan struct{})}
 }
 
 func (s *store) topic(name string) *topic {
@@ -71,7 +69,6 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	name := q.Get("topic")
-	s.onRead(r.URL.Path, r.RemoteAddr, name)
 	time.Sleep(storeResponseTime)
 	switch r.URL.Path {
 	case "/log-append":
