--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"truncated": truncatedAnswer,
 	"readers":   killedReaders,
+	"herd":      departureAfterKill,
 }
 
 func main() {
