Show a configuration that is late after a freeze of its source

Cause: a node fetches a new version from one other node at a time and waits for it for 3 s, which is longer than config_apply_ms.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -23,6 +23,7 @@
 	"truncated": truncatedAnswer,
 	"readers":   killedReaders,
 	"herd":      departureAfterKill,
+	"frozen":    frozenSource,
 }
 
 func main() {
--- a/review/lab/readers.go
+++ b/review/lab/readers.go
@@ -1,10 +1,6 @@
 package main
 
 import (
-	"fmt"
-	"net/http"
-	"slices"
-	"sync"
 	"time"
 )
 
@@ -13,10 +9,9 @@
 // change within config_apply_ms.
 func killedReaders(rec *record, trouble bool) (bool, error) {
 	const (
-		machines      = 36
-		configApplyMS = 2000
-		darkFor       = 3500 * time.Millisecond
-		watchFor      = 6 * time.Second
+		machines = 36
+		darkFor  = 3500 * time.Millisecond
+		watchFor = 6 * time.Second
 	)
 	services := []string{"katalog", "buchung", "kasse"}
 	d, err := newDeployment(rec, machines, services, []string{"vie-hall1", "vie-hall2", "noe-hall3", "bgld-hall4"})
@@ -52,49 +47,22 @@
 	d.store.putConfig(operatorConfig(9, services, rules("buchung")))
 	acked := time.Now()
 	rec.printf("the store acknowledged version 9, which moves /avail/ to buchung")
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	var answers []answer
-	for _, m := range left {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for i := 0; time.Since(acked) < watchFor; i++ {
-				a := d.send(m, http.MethodGet, "shop.example", "/avail/1", fmt.Sprintf("%s-%d", m.name, i), 800, nil)
-				mu.Lock()
-				answers = append(answers, a)
-				mu.Unlock()
-				time.Sleep(100 * time.Millisecond)
+	restarted := make(chan error, 1)
+	go func() {
+		time.Sleep(time.Until(acked.Add(darkFor)))
+		for _, m := range killed {
+			if err := d.startNode(m); err != nil {
+				restarted <- err
+				return
 			}
-		}()
-	}
-	time.Sleep(time.Until(acked.Add(darkFor)))
-	for _, m := range killed {
-		if err := d.startNode(m); err != nil {
-			return false, err
-		}
-	}
-	wg.Wait()
-	old := map[string]bool{}
-	for _, m := range d.machines {
-		old["i-"+m.name] = m.service == "katalog"
-	}
-	late, nodes, last := 0, map[string]bool{}, time.Duration(0)
-	ranBy := map[string]string{}
-	for _, e := range d.executionList() {
-		ranBy[e.ID] = e.Instance
-	}
-	for _, a := range answers {
-		age := a.sent.Sub(acked)
-		if age > configApplyMS*time.Millisecond && old[ranBy[a.id]] {
-			late++
-			nodes[a.id[:slices.Index([]byte(a.id), '-')]] = true
-			last = max(last, age)
 		}
+		restarted <- nil
+	}()
+	broken, err := d.watchChange(left, 9, "katalog", acked, watchFor)
+	if err := <-restarted; err != nil {
+		return false, err
 	}
-	rec.printf("%d requests, of which katalog ran %d that were sent more than %d ms after the acknowledgement (the last %d ms after it), at %d of %d nodes that were not disturbed",
-		len(answers), late, configApplyMS, last.Milliseconds(), len(nodes), len(left))
-	return late > 0, nil
+	return broken, err
 }
 
 func names(machines []*machine) []string {
