Show requests at a draining instance after a step of its clock

Cause: announcements with an earlier start time count as late, and are acknowledged although they have no effect.

--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -250,7 +250,7 @@
 func (d *deployment) startInstance(m *machine, s instanceSettings) error {
 	s.Service, s.Zone, s.Address, s.Control = m.service, m.zone, m.instanceAddress(), m.controlAddress()
 	m.instanceSettings = s
-	if d.inProcess {
+	if d.inProcess && !s.OwnProcess {
 		return d.serveInstance(m, s)
 	}
 	encoded, err := json.Marshal(s)
--- a/review/lab/instance.go
+++ b/review/lab/instance.go
@@ -24,8 +24,8 @@
 	// Unframed makes the instance answer requests with long bodies before it has read them,
 	// without a length.
 	Unframed bool
-	// NoHeartbeats is set for an instance that sends heartbeats only when it is told to.
-	NoHeartbeats bool
+	// OwnProcess is set if the instance is killed by the case.
+	OwnProcess bool
 }
 
 const heartbeatPeriod = 1500 * time.Millisecond
@@ -73,9 +73,7 @@
 }
 
 func (in *instance) serve(l net.Listener) {
-	if !in.NoHeartbeats {
-		go in.sendHeartbeats()
-	}
+	go in.sendHeartbeats()
 	_ = (&http.Server{Handler: in}).Serve(l)
 }
 
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -24,6 +24,7 @@
 	"readers":   killedReaders,
 	"herd":      departureAfterKill,
 	"frozen":    frozenSource,
+	"clock":     restartAfterClockStep,
 }
 
 func main() {
