Report a reset that a write received to the reader of the response

Cause: the kernel reports the error of a socket once. A long body is written while the response is read; if the blocked write gets ECONNRESET, the read gets an end of file, and a response without length counts as complete. Client.run used the error of the write only to decide whether the connection may be reused.

Change: resetAwareConn keeps the error of a failed write. A read that gets an end of file ends a write in progress and returns the error it got. A write that was only blocked is no error, since an upstream may end its response before it has read the body.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -143,7 +143,7 @@
 }
 
 type conn struct {
-	net.Conn
+	*resetAwareConn
 	limit     *limitedReader
 	r         *bufio.Reader
 	idleSince time.Time
@@ -221,8 +221,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrConnRefused, err)
 	}
-	limit := &limitedReader{r: n}
-	return &conn{Conn: n, limit: limit, r: bufio.NewReader(limit)}, nil
+	rc := &resetAwareConn{Conn: n}
+	limit := &limitedReader{r: rc}
+	return &conn{resetAwareConn: rc, limit: limit, r: bufio.NewReader(limit)}, nil
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil if it
