Reject a chunked request body that breaks off

Seen by upstreams behind mtnode: a chunked request whose connection broke off arrived as a whole request with the first part of the body.

Cause: readPrefix took io.ErrUnexpectedEOF for a body that is shorter than the prefix. io.ReadFull returns that error for a short body, and net/http returns the same one for a chunked body that breaks off.

Change: the prefix is read with io.CopyN, which returns io.EOF for a short body and the body's own error otherwise.

Result: TestBrokenOffBodyIsNotComplete failed before for the chunked body ("is read without an error, complete true") and passes after; the tests of pkg/ingress, pkg/node and pkg/sidecar pass with the race detector.

--- a/pkg/ingress/body.go
+++ b/pkg/ingress/body.go
@@ -59,11 +59,13 @@
 	if r.ContentLength > 0 {
 		size = min(r.ContentLength, prefixBytes)
 	}
-	buf := make([]byte, min(size, limit)+1)
-	n, err := io.ReadFull(r.Body, buf)
-	b.prefix, b.remaining = buf[:n], limit-int64(n)
+	var prefix bytes.Buffer
+	// Unlike io.ReadFull, io.CopyN tells a body that is shorter than size from one that
+	// breaks off.
+	n, err := io.CopyN(&prefix, r.Body, min(size, limit)+1)
+	b.prefix, b.remaining = prefix.Bytes(), limit-n
 	switch {
-	case errors.Is(err, io.EOF) || (errors.Is(err, io.ErrUnexpectedEOF) && (r.ContentLength < 0 || int64(n) == r.ContentLength)):
+	case errors.Is(err, io.EOF):
 		b.complete = true
 	case err != nil:
 		return nil, errors.Join(errCallerBody, err)
--- a/pkg/ingress/body_test.go
+++ b/pkg/ingress/body_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -175,3 +176,17 @@
 	f.members["alone"].Status = pb.MemberStatus_MEMBER_STATUS_DEAD
 	f.expect(f.do("POST", "/", "b"), 503, outcome.ReasonQuarantined, outcome.NotRun)
 }
+
+// Guards against a chunked request body that breaks off and is sent to an upstream as a whole.
+func TestBrokenOffBodyIsNotComplete(t *testing.T) {
+	for _, framing := range []string{"Transfer-Encoding: chunked\r\n\r\n9\r\nhalf", "Content-Length: 9\r\n\r\nhalf"} {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader("POST / HTTP/1.1\r\nHost: h\r\n" + framing)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := readPrefix(r, 1<<20)
+		if err == nil {
+			t.Errorf("%q is read without an error, complete %t", framing, b.complete)
+		}
+	}
+}
