Store the departure of an upstream before it is acknowledged

Cause: an acknowledgement binds for as long as the upstream runs, and that it had left was only in the memory of the nodes.

Change: the node stores id and start time of a departure in the topic of the nodes' addresses and acknowledges it only then; the upstream is out of use at once. Without the store for 800 ms the response is 503, and the node keeps trying (event 1512). A new process reads the departures in the call for the addresses, which it makes anyway, and does not use its upstream before, for 500 ms at most. A departure that a restore of the store has removed is written again.

Cost: one append of about 90 bytes per upstream that leaves, no more reads.

The tests that read the registry call Registered instead of Addresses, which is gone.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -111,6 +111,8 @@
 	// unknownStop is the stop of an upstream of which nothing was known, not even its start
 	// time.
 	unknownStop stop
+	// departed is a stop that an earlier process of the node has recorded.
+	departed stop
 }
 
 // stop is the stop of all starts under an id up to a time, in Unix milliseconds.
@@ -127,7 +129,7 @@
 // Observe processes an announcement that just arrived.
 func (t *Tracker) Observe(a Announcement) Verdict {
 	cur := t.current
-	if t.unknownStop.includes(a) {
+	if t.unknownStop.includes(a) || t.departed.includes(a) {
 		return Stale
 	}
 	// An unknown upstream that stopped may have been another one, which has no start time to
@@ -166,6 +168,18 @@
 	return Changed
 }
 
+// ObserveDeparture processes the stop of an upstream that an earlier process of the node has
+// recorded. Announcements of other upstreams still count, also those of an earlier start: they
+// may come from a VM with another clock that has the same address.
+func (t *Tracker) ObserveDeparture(id string, start int64) Verdict {
+	t.departed = stop{id, start}
+	if !t.departed.includes(t.current) || t.current.State == Unknown || t.current.State == Gone {
+		return Stale
+	}
+	t.current.State, t.current.StartUnixMillis = Gone, start
+	return Changed
+}
+
 func startOrNow(start, now int64) int64 {
 	if start == 0 {
 		return now
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -92,3 +92,32 @@
 		t.Errorf("a later start under the same id: verdict %v, want changed", got)
 	}
 }
+
+// Guards against a stored departure that is ignored, or that concerns more than its upstream.
+func TestStoredDeparture(t *testing.T) {
+	tests := []struct {
+		desc string
+		a    Announcement
+		want Verdict
+	}{
+		{"the same start", Announcement{ID: "u", State: Ready, StartUnixMillis: 5, Sequence: 9}, Stale},
+		{"an earlier start", Announcement{ID: "u", State: Ready, StartUnixMillis: 4}, Stale},
+		{"an unknown start, from a health check", Announcement{ID: "u", State: Ready}, Stale},
+		{"a later start", Announcement{ID: "u", State: Ready, StartUnixMillis: 6}, Changed},
+		{"another upstream with a clock that is behind", Announcement{ID: "v", State: Ready, StartUnixMillis: 4}, Changed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			var before, after Tracker
+			before.ObserveDeparture("u", 5)
+			if got := before.Observe(tt.a); got != tt.want {
+				t.Errorf("verdict %d after the departure, want %d", got, tt.want)
+			}
+			after.Observe(tt.a)
+			after.ObserveDeparture("u", 5)
+			if gone := after.Current().State == Gone; gone != (tt.want == Stale) {
+				t.Errorf("state %v after the departure was read", after.Current().State)
+			}
+		})
+	}
+}
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -71,6 +71,7 @@
 	SettingsInvalid     = Event{1509, log.WarnLevel, "changed settings refused"}
 	ReadinessChanged    = Event{1510, log.InfoLevel, "readiness changed"}
 	MemberForgotten     = Event{1511, log.InfoLevel, "unresponsive member removed"}
+	DepartureNotStored  = Event{1512, log.WarnLevel, "departure not acknowledged"}
 )
 
 // Events of the tools, 1900 to 1999.
--- a/pkg/mesh/helper_test.go
+++ b/pkg/mesh/helper_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -18,6 +19,7 @@
 	"github.com/mulberrytray/mulberrytray/pkg/announce"
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/relay"
+	"github.com/mulberrytray/mulberrytray/pkg/roster"
 	"github.com/mulberrytray/mulberrytray/pkg/route"
 )
 
@@ -34,6 +36,7 @@
 	reads     int
 	// registrations and lists count the calls of Register and Addresses.
 	registrations, lists int
+	departures           map[string]roster.Departure
 	// restoreAfterRegister, if set, is called after an address was added, with the lock held.
 	restoreAfterRegister func()
 	// ignoreChanges makes waiting reads end only at their time limit, not on a change.
@@ -42,7 +45,9 @@
 	expired bool
 }
 
-func newMemoryStore() *memoryStore { return &memoryStore{changed: make(chan struct{})} }
+func newMemoryStore() *memoryStore {
+	return &memoryStore{changed: make(chan struct{}), departures: map[string]roster.Departure{}}
+}
 
 // testConfig is the encoded form of a table with an idempotent route /S/ and a route /once/S/
 // for each service S.
@@ -183,15 +188,26 @@
 	return nil
 }
 
-func (c *storeClient) Addresses(context.Context) ([]string, uint64, error) {
+func (c *storeClient) RecordDeparture(_ context.Context, d roster.Departure) (uint64, error) {
+	if err := c.err(); err != nil {
+		return 0, err
+	}
+	s := c.memoryStore
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.departures[d.Address] = d
+	return s.history, nil
+}
+
+func (c *storeClient) Registered(context.Context) (Registered, error) {
 	if err := c.err(); err != nil {
-		return nil, 0, err
+		return Registered{}, err
 	}
 	s := c.memoryStore
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
-	return append([]string(nil), s.addresses...), s.history, nil
+	return Registered{slices.Clone(s.addresses), maps.Clone(s.departures), s.history}, nil
 }
 
 var testNames = relay.HeaderNames{
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -60,7 +60,9 @@
 	watcher *configWatcher
 	history *storeHistory
 	fetcher *fetcher
-	configs *configServer
+	// departures stores the departures of the upstream beside the node.
+	departures *departureStore
+	configs    *configServer
 	// connections are those of the callers.
 	connections *callerConnections
 
@@ -115,6 +117,11 @@
 	}
 	n.fetcher = newFetcher(n.watcher, n.dir, n.peers, d.Events)
 	n.configs = newConfigServer(n.ingress.Table, d.Events)
+	n.departures = newDepartureStore(s.PeerAddress, d.Registry, n.sidecar, n.history, d.Events)
+	n.sidecar.SetConfirmDeparture(n.departures.confirm)
+	if !s.FirstStart {
+		n.sidecar.Hold()
+	}
 	n.registerGauges()
 	return n.listen()
 }
@@ -193,6 +200,7 @@
 	n.spawn(func() { n.fetcher.run(runCtx) })
 	n.spawn(func() { n.register(runCtx) })
 	n.spawn(func() { n.unregister(runCtx) })
+	n.spawn(func() { n.departures.run(runCtx) })
 	n.spawn(func() { n.sidecar.RunTicker(runCtx) })
 	n.spawn(func() { n.probe(runCtx) })
 	n.spawn(func() { n.reportDrops(runCtx) })
@@ -227,10 +235,7 @@
 }
 
 // departure returns the departure of the upstream beside the node, if it has announced one.
-func (n *Node) departure() (roster.Departure, bool) {
-	id, start, leaves := n.sidecar.Departure()
-	return roster.Departure{Address: n.settings.PeerAddress, Upstream: id, StartUnixMillis: start}, leaves && start > 0
-}
+func (n *Node) departure() (roster.Departure, bool) { return n.departures.current() }
 
 // handleDeparture stops the use of the upstream beside the node if it has left. Another node
 // remembers this from before this process started.
--- a/pkg/mesh/register.go
+++ b/pkg/mesh/register.go
@@ -51,11 +51,13 @@
 func (n *Node) registerOnce(ctx context.Context, listFirst bool) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
-	registered, history, err := n.registerAndList(ctx, listFirst)
+	registered, err := n.registerAndList(ctx, listFirst)
 	if err != nil {
 		return 0, err
 	}
-	addresses := n.validAddresses(registered)
+	history := registered.History
+	n.departures.observe(registered.Departures[n.settings.PeerAddress])
+	addresses := n.validAddresses(registered.Addresses)
 	n.history.observeRead(history)
 	n.deps.Events.Emit(event.NodeRegistered, event.Fields{"known": len(addresses), "history": history})
 	if n.dir.add(addresses) {
@@ -93,25 +95,24 @@
 	return d.roster.Len() > before
 }
 
-// registerAndList registers the node's address and returns all registered addresses and their
-// history. If listFirst is set, it registers only if the address is not registered already:
+// registerAndList registers the node's address and returns the content of the registry. If listFirst is set, it registers only if the address is not registered already:
 // addresses stay registered when their node stops, and most are older than the copy from which
 // the store was restored. A node registers before it reads: if two nodes register at the same
 // time, the later one reads the other's address. It fails if the store was restored in between.
-func (n *Node) registerAndList(ctx context.Context, listFirst bool) ([]string, uint64, error) {
+func (n *Node) registerAndList(ctx context.Context, listFirst bool) (Registered, error) {
 	if listFirst {
-		addresses, history, err := n.deps.Registry.Addresses(ctx)
-		if err != nil || slices.Contains(addresses, n.settings.PeerAddress) {
-			return addresses, history, err
+		registered, err := n.deps.Registry.Registered(ctx)
+		if err != nil || slices.Contains(registered.Addresses, n.settings.PeerAddress) {
+			return registered, err
 		}
 	}
-	registered, err := n.deps.Registry.Register(ctx, n.settings.PeerAddress)
+	history, err := n.deps.Registry.Register(ctx, n.settings.PeerAddress)
 	if err != nil {
-		return nil, 0, err
+		return Registered{}, err
 	}
-	addresses, history, err := n.deps.Registry.Addresses(ctx)
-	if err == nil && history != registered {
-		err = fmt.Errorf("%w: registered in history %d, read in history %d", errRestored, registered, history)
+	registered, err := n.deps.Registry.Registered(ctx)
+	if err == nil && registered.History != history {
+		err = fmt.Errorf("%w: registered in history %d, read in history %d", errRestored, history, registered.History)
 	}
-	return addresses, history, err
+	return registered, err
 }
--- a/pkg/mesh/silent_test.go
+++ b/pkg/mesh/silent_test.go
@@ -102,7 +102,7 @@
 	defer cancel()
 	go n.unregister(ctx)
 	await.Eventually(t, "the address is removed from the registry", func() bool {
-		left, _, err := n.deps.Registry.Addresses(ctx)
-		return err == nil && slices.Equal(left, []string{"127.0.0.1:3"})
+		left, err := n.deps.Registry.Registered(ctx)
+		return err == nil && slices.Equal(left.Addresses, []string{"127.0.0.1:3"})
 	})
 }
--- a/pkg/mesh/stores.go
+++ b/pkg/mesh/stores.go
@@ -9,6 +9,7 @@
 	"errors"
 	"time"
 
+	"github.com/mulberrytray/mulberrytray/pkg/roster"
 	"github.com/mulberrytray/mulberrytray/pkg/route"
 )
 
@@ -40,14 +41,26 @@
 	Decode(encoded []byte) (*route.Table, error)
 }
 
-// Registry stores the addresses of nodes for nodes that start later.
+// Registry stores the addresses of nodes and the departures of their upstreams for nodes that
+// start later.
 type Registry interface {
 	// Register adds an address. It returns the history of the store in which it did so, as in
 	// Position.
 	Register(ctx context.Context, address string) (history uint64, err error)
-	// Unregister removes an address.
+	// RecordDeparture adds a departure, or replaces the earlier one of the same address. It
+	// returns the history of the store in which it did so.
+	RecordDeparture(ctx context.Context, d roster.Departure) (history uint64, err error)
+	// Unregister removes an address and its departure.
 	Unregister(ctx context.Context, address string) error
-	// Addresses returns all registered addresses and the history of the store that contains
-	// them.
-	Addresses(ctx context.Context) (addresses []string, history uint64, err error)
+	// Registered returns all registered addresses, the departures, and the history of the
+	// store that contains them.
+	Registered(ctx context.Context) (Registered, error)
+}
+
+// Registered is the content of the registry.
+type Registered struct {
+	Addresses []string
+	// Departures are the last ones of each address.
+	Departures map[string]roster.Departure
+	History    uint64
 }
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -44,12 +45,16 @@
 	// when they must receive the new state at once. Both may be called with the lock
 	// held and must not block.
 	loadChanged, stateChanged func()
+	// confirmDeparture waits until a departure of the upstream is stored, or is nil.
+	confirmDeparture func(context.Context) error
 
 	mu       sync.Mutex
 	gate     *gate.Gate
 	tracker  announce.Tracker
 	down     bool
 	stopping bool
+	// held is set between Hold and Unhold.
+	held bool
 	// stopAt is when the node stops, or zero.
 	stopAt      time.Duration
 	waiting     map[*gate.Request]chan *Result
@@ -78,6 +83,21 @@
 // SetBodies limits the memory for bodies. It must be called before the first call.
 func (s *Sidecar) SetBodies(b *bodybuf.Budget) { s.client.Bodies = b }
 
+// SetConfirmDeparture sets the function that ConfirmDeparture calls. It must be called before
+// the first announcement.
+func (s *Sidecar) SetConfirmDeparture(confirm func(context.Context) error) {
+	s.confirmDeparture = confirm
+}
+
+// ConfirmDeparture waits until the departure that the upstream has announced is stored, so that
+// it may be acknowledged. It returns nil at once if there is none.
+func (s *Sidecar) ConfirmDeparture(ctx context.Context) error {
+	if s.confirmDeparture == nil {
+		return nil
+	}
+	return s.confirmDeparture(ctx)
+}
+
 func (s *Sidecar) now() time.Duration { return time.Since(s.start) }
 
 // ApplyAnnouncement applies an announcement of the upstream. The announcement is in
@@ -110,6 +130,36 @@
 	return verdict
 }
 
+// ApplyDeparture applies a departure that an earlier process of the node has recorded.
+func (s *Sidecar) ApplyDeparture(d roster.Departure) {
+	s.mu.Lock()
+	verdict := s.tracker.ObserveDeparture(d.Upstream, d.StartUnixMillis)
+	s.applyState()
+	s.mu.Unlock()
+	s.events.Emit(event.UpstreamDraining, event.Fields{"upstream": d.Upstream, "born": d.StartUnixMillis, "state": announce.Gone.String(), "source": "registry"})
+	if verdict == announce.Changed {
+		s.stateChanged()
+	}
+}
+
+// Hold keeps the upstream out of use until Unhold: it may have left before this process
+// started.
+func (s *Sidecar) Hold() { s.setHeld(true) }
+
+// Unhold ends the effect of Hold.
+func (s *Sidecar) Unhold() { s.setHeld(false) }
+
+func (s *Sidecar) setHeld(held bool) {
+	s.mu.Lock()
+	changed := s.held != held && s.tracker.Current().State == announce.Ready
+	s.held = held
+	s.applyState()
+	s.mu.Unlock()
+	if changed {
+		s.stateChanged()
+	}
+}
+
 // Departure returns the id and the start time of the upstream if it has announced that it
 // leaves. The start time is zero if it is not known.
 func (s *Sidecar) Departure() (id string, startUnixMillis int64, leaves bool) {
@@ -180,7 +230,7 @@
 // applyState opens or closes the gate by the upstream's state. The lock must be held.
 func (s *Sidecar) applyState() {
 	cur := s.tracker.Current()
-	if cur.State == announce.Ready && !s.down && !s.stopping {
+	if cur.State == announce.Ready && !s.down && !s.stopping && !s.held {
 		s.deliver(s.gate.Open(s.now(), cur.Slots))
 		return
 	}
--- a/pkg/standalone/standalone.go
+++ b/pkg/standalone/standalone.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 
+	"github.com/mulberrytray/mulberrytray/pkg/mesh"
 	"github.com/mulberrytray/mulberrytray/pkg/outcome"
 	"github.com/mulberrytray/mulberrytray/pkg/relay"
+	"github.com/mulberrytray/mulberrytray/pkg/roster"
 )
 
 // HeaderNames returns the names of the headers for callers and upstreams. Responses
@@ -37,5 +39,10 @@
 // Unregister does nothing: the addresses come from settings.
 func (Peers) Unregister(context.Context, string) error { return nil }
 
-// Addresses returns the addresses from settings.
-func (p Peers) Addresses(context.Context) ([]string, uint64, error) { return p, 0, nil }
+// RecordDeparture does nothing: without the platform, only the nodes keep departures.
+func (Peers) RecordDeparture(context.Context, roster.Departure) (uint64, error) { return 0, nil }
+
+// Registered returns the addresses from settings.
+func (p Peers) Registered(context.Context) (mesh.Registered, error) {
+	return mesh.Registered{Addresses: p}, nil
+}
