Don't wait for one source of a configuration

Cause: a node fetched a new version from one other node at a time and waited for it for 3 s, longer than config_apply_ms. The nodes that had reported the version were the only sources; after the loss of power all of them could be gone. Two receivers that stopped reading held both send slots of a source for 3 s.

Change: a second source is asked after 200 ms, a transfer without a byte for 400 ms is given up by both sides, and after 400 to 600 ms the node reads the store itself. The times shrink with config_apply_ms, and so does the time for which a new process leaves its upstream unused with drain_ms; a node checks at its start that they keep the bound with 12 and with 300 nodes (event 1109).

Cost: nothing while sources answer within 200 ms; otherwise at most one call to the store per node in 0.6 s.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -23,6 +23,8 @@
 	LogReset         = Event{1106, log.ErrorLevel, "platform log ends before the applied offset"}
 	LogGap           = Event{1107, log.WarnLevel, "platform log no longer keeps the next record"}
 	LogReplaced      = Event{1108, log.WarnLevel, "platform log was restored from an earlier copy"}
+
+	ConfigBoundTooShort = Event{1109, log.WarnLevel, "bound of the configuration is too short"}
 )
 
 // Events of the membership, 1200 to 1299.
--- a/pkg/mesh/config.go
+++ b/pkg/mesh/config.go
@@ -50,6 +50,7 @@
 	// readerRole returns this node's turn and whether it is a store reader.
 	readerRole func() (readTurn, bool)
 	history    *storeHistory
+	timing     configTiming
 
 	mu               sync.Mutex
 	current          *route.Table
@@ -113,8 +114,8 @@
 			position = nil
 			continue
 		}
-		next, err := w.read(ctx, position, turn.wait(changed))
-		pause := minReadInterval
+		next, err := w.read(ctx, position, w.timing.scale(turn.wait(changed)))
+		pause := w.timing.scale(minReadInterval)
 		if err != nil {
 			// The store may have lost changes before the position while it was away.
 			position = nil
@@ -174,6 +175,17 @@
 	return next, nil
 }
 
+// readNewest reads the newest configuration once, besides the regular reads.
+func (w *configWatcher) readNewest(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, w.timing.scale(directReadTimeout))
+	defer cancel()
+	_, err := w.read(ctx, nil, 0)
+	if errors.Is(err, ErrHistoryExpired) {
+		return nil
+	}
+	return err
+}
+
 // logStoreState logs when the store becomes unreachable and reachable again.
 func (w *configWatcher) logStoreState(err error) {
 	w.mu.Lock()
--- a/pkg/mesh/departures.go
+++ b/pkg/mesh/departures.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -19,11 +20,19 @@
 	// departureStoreTimeout is the time limit of one attempt to store a departure. Two attempts
 	// fit into departureConfirmTimeout.
 	departureStoreTimeout = 350 * time.Millisecond
-	// departureReadTimeout bounds how long a new process leaves its upstream unused because it
-	// doesn't know the stored departures. Without the store, the other nodes send them.
-	departureReadTimeout = 500 * time.Millisecond
+	// defaultDrainBound is the bound of departures if the settings have none.
+	defaultDrainBound = 2 * time.Second
+	// departureReadDivisor is the part of the bound of departures for which a new process leaves
+	// its upstream unused because it doesn't know the stored departures.
+	departureReadDivisor = 4
 )
 
+// departureReadTimeout bounds how long a new process leaves its upstream unused because it
+// doesn't know the stored departures. Without the store, the other nodes send them.
+func (s Settings) departureReadTimeout() time.Duration {
+	return cmp.Or(s.DrainWithin, defaultDrainBound) / departureReadDivisor
+}
+
 // errDepartureNotStored means that a departure must not be acknowledged yet.
 var errDepartureNotStored = errors.New("departure is not stored yet")
 
@@ -38,6 +47,8 @@
 	events   *event.Logger
 	// requested triggers an attempt to store the current departure.
 	requested chan struct{}
+	// readTimeout bounds how long the upstream is unused before the first read of the registry.
+	readTimeout time.Duration
 
 	mu sync.Mutex
 	// stored is the departure in the store. last is the last one that was there; a restore of
@@ -99,9 +110,9 @@
 }
 
 // run stores departures until the context ends. The upstream may be used from the first read of
-// the registry on, or after departureReadTimeout.
+// the registry on, or after readTimeout.
 func (s *departureStore) run(ctx context.Context) {
-	unhold := time.AfterFunc(departureReadTimeout, s.sidecar.Unhold)
+	unhold := time.AfterFunc(s.readTimeout, s.sidecar.Unhold)
 	defer unhold.Stop()
 	for {
 		select {
--- a/pkg/mesh/fetch.go
+++ b/pkg/mesh/fetch.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -23,16 +25,19 @@
 	// maxFetchAttempts is the number of attempts after which the node stops fetching until
 	// the next status with a newer version.
 	maxFetchAttempts = 16
+	// maxParallelFetches is the number of sources that are asked at the same time. The second one
+	// is asked if the first is slow.
+	maxParallelFetches = 2
 	// maxConfigSends is the number of configurations that a node sends concurrently. With
 	// two, the number of nodes that have a new version doubles in each round, and a node
 	// with a slow link still has most of the link for calls.
 	maxConfigSends = 2
-	// configSendTimeout is the time limit for sending one configuration, equal to the
-	// receiver's time limit.
-	configSendTimeout = 3 * time.Second
+	// configBlockBytes is the size of the blocks in which a configuration is sent.
+	configBlockBytes = 32 << 10
 )
 
-// fetcher fetches newer configurations from other nodes, one at a time.
+// fetcher fetches newer configurations from other nodes, and from the store if these are too
+// slow.
 //
 // Load pattern: a configuration of several hundred kilobytes appears at a few nodes, and
 // all other nodes request it from the first one that reports the new version. A node that
@@ -45,10 +50,18 @@
 	fetch      func(ctx context.Context, address string) ([]byte, error)
 	events     *event.Logger
 	requested  chan struct{}
+	// readStore reads the newest configuration from the store; nil if nodes don't.
+	readStore func(ctx context.Context) error
+	// sourceFailed records that a source did not send its configuration, or is nil.
+	sourceFailed func(address string)
+	timing       configTiming
 }
 
-func newFetcher(w *configWatcher, dir *directory, peers *relay.HTTPPeers, events *event.Logger) *fetcher {
-	return &fetcher{watcher: w, findSource: dir.newerConfigSource, fetch: peers.Config, events: events, requested: make(chan struct{}, 1)}
+func newFetcher(w *configWatcher, dir *directory, peers *relay.HTTPPeers, timing configTiming, events *event.Logger) *fetcher {
+	return &fetcher{
+		watcher: w, findSource: dir.newerConfigSource, fetch: peers.Config, events: events, requested: make(chan struct{}, 1),
+		readStore: w.readNewest, sourceFailed: dir.recordConfigFailure, timing: timing,
+	}
 }
 
 // request triggers a fetch because another node has a newer configuration. It never blocks.
@@ -66,50 +79,126 @@
 }
 
 // catchUp fetches configurations until no node reports a newer one or maxFetchAttempts is
-// reached.
+// reached. A source that is slow to respond may have stopped, so another one is asked as well.
+//
+// Load pattern: the nodes that have a new version fail or freeze right after they have reported
+// it.
 func (f *fetcher) catchUp(ctx context.Context) {
-	for range maxFetchAttempts {
-		address, ok := f.findSource(f.watcher.version())
-		if !ok || ctx.Err() != nil {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go f.readStoreIfLate(ctx)
+	attempts, running := 0, map[string]bool{}
+	ended := make(chan fetchResult, maxParallelFetches)
+	hedge := time.NewTicker(f.timing.scale(fetchHedgeDelay))
+	defer hedge.Stop()
+	for {
+		address, behind := f.findSource(f.watcher.version())
+		if !behind || ctx.Err() != nil || (attempts == maxFetchAttempts && len(running) == 0) {
 			return
 		}
-		encoded, err := f.fetch(ctx, address)
-		if err == nil && f.watcher.installIfNewer(encoded, address) {
-			continue
+		if attempts < maxFetchAttempts && len(running) < maxParallelFetches && !running[address] {
+			attempts++
+			running[address] = true
+			go func() { ended <- fetchResult{address, f.fetchFrom(ctx, address)} }()
 		}
-		if err != nil {
-			f.events.Emit(event.ConfigInvalid, event.Fields{"source": address, "error": err.Error()})
+		select {
+		case <-ctx.Done():
+			return
+		case <-hedge.C:
+			for slow := range running {
+				f.recordFailure(slow)
+			}
+		case result := <-ended:
+			delete(running, result.address)
+			if !result.newer && !sleep(ctx, time.Duration(float64(meanFetchPause)*(0.5+rand.Float64()))) {
+				return
+			}
 		}
-		if !sleep(ctx, time.Duration(float64(meanFetchPause)*(0.5+rand.Float64()))) {
+	}
+}
+
+// fetchResult is the end of an attempt. newer is set if it brought a newer configuration.
+type fetchResult struct {
+	address string
+	newer   bool
+}
+
+// recordFailure makes findSource prefer other sources.
+func (f *fetcher) recordFailure(address string) {
+	if f.sourceFailed != nil {
+		f.sourceFailed(address)
+	}
+}
+
+// fetchFrom fetches the configuration of one source and reports whether it was newer.
+func (f *fetcher) fetchFrom(ctx context.Context, address string) bool {
+	encoded, err := f.fetch(ctx, address)
+	if err == nil {
+		return f.watcher.installIfNewer(encoded, address)
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	f.recordFailure(address)
+	f.events.Emit(event.ConfigInvalid, event.Fields{"source": address, "error": err.Error()})
+	return false
+}
+
+// readStoreIfLate reads the store when the other nodes have not sent a newer configuration in
+// time, and again until the context ends. The random part of the delay lets most nodes fetch it
+// from the first ones that have read it.
+func (f *fetcher) readStoreIfLate(ctx context.Context) {
+	if f.readStore == nil {
+		return
+	}
+	delay := f.timing.scale(directReadDelay)
+	for sleep(ctx, delay+rand.N(f.timing.scale(directReadSpread))) {
+		if _, behind := f.findSource(f.watcher.version()); !behind {
 			return
 		}
+		if err := f.readStore(ctx); err != nil && ctx.Err() == nil {
+			f.events.Emit(event.LogUnreachable, event.Fields{"error": err.Error(), "call": "read configuration"})
+			delay = max(delay, maxRetryDelay)
+		}
+	}
+}
+
+// recordConfigFailure records that a node did not send its configuration.
+func (d *directory) recordConfigFailure(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if m := d.roster.Member(address); m != nil {
+		m.ConfigFailedAt = d.now()
 	}
 }
 
 // newerConfigSource returns a random node whose configuration is newer than the version.
-// It prefers nodes in the local failure domain.
+// It prefers nodes that have not failed to send it since their last status, and among these
+// nodes in the local failure domain.
 func (d *directory) newerConfigSource(version uint64) (string, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var local, remote []string
+	var local, remote, failed []string
 	now, maxStatusAge := d.now(), silenceThreshold(d.roster.Len())
 	d.roster.Each(func(m *roster.Member) {
 		if m.Status.ConfigVersion <= version || m.Status.Address == d.self || now-m.LastSeen > maxStatusAge {
 			return
 		}
-		if m.Status.Domain == d.domain {
+		switch {
+		case m.ConfigFailedAt > m.LastSeen:
+			failed = append(failed, m.Status.Address)
+		case m.Status.Domain == d.domain:
 			local = append(local, m.Status.Address)
-			return
+		default:
+			remote = append(remote, m.Status.Address)
 		}
-		remote = append(remote, m.Status.Address)
 	})
-	if len(local) == 0 {
-		local = remote
-	}
-	if len(local) == 0 {
-		return "", false
+	for _, list := range [][]string{local, remote, failed} {
+		if len(list) > 0 {
+			return list[rand.IntN(len(list))], true
+		}
 	}
-	return local[rand.IntN(len(local))], true
+	return "", false
 }
 
 // configServer sends the configuration in force to other nodes. It compresses each version
@@ -118,6 +207,7 @@
 	table     func() *route.Table
 	events    *event.Logger
 	sendSlots chan struct{}
+	timing    configTiming
 
 	mu         sync.Mutex
 	version    uint64
@@ -141,10 +231,6 @@
 		http.Error(w, "sending the configuration to others", http.StatusServiceUnavailable)
 		return
 	}
-	// A receiver that stops reading must not block the other receivers.
-	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(configSendTimeout)); err != nil {
-		s.events.Emit(event.AnswerNotDelivered, event.Fields{"path": relay.ConfigPath, "error": err.Error()})
-	}
 	body := t.Source
 	if strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
 		compressed, err := s.compress(t)
@@ -155,11 +241,27 @@
 		w.Header().Set("Content-Encoding", "gzip")
 		body = compressed
 	}
-	if _, err := w.Write(body); err != nil {
+	if err := s.send(w, body); err != nil {
 		s.events.Emit(event.AnswerNotDelivered, event.Fields{"path": relay.ConfigPath, "error": err.Error()})
 	}
 }
 
+// send writes the body in blocks. A receiver that stops reading loses its send slot: this node
+// may be the only one that has the configuration.
+func (s *configServer) send(w http.ResponseWriter, body []byte) error {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	control := http.NewResponseController(w)
+	for block := range slices.Chunk(body, configBlockBytes) {
+		if err := control.SetWriteDeadline(time.Now().Add(s.timing.scale(configStallTimeout))); err != nil {
+			return fmt.Errorf("set write deadline: %w", err)
+		}
+		if _, err := w.Write(block); err != nil {
+			return fmt.Errorf("send configuration: %w", err)
+		}
+	}
+	return nil
+}
+
 // compress returns the table's gzip-compressed source. It caches the result of the last
 // version.
 func (s *configServer) compress(t *route.Table) ([]byte, error) {
--- a/pkg/mesh/fetch_test.go
+++ b/pkg/mesh/fetch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mulberrytray/mulberrytray/internal/await"
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/relay"
@@ -161,3 +164,111 @@
 		return err == nil
 	})
 }
+
+// Guards against a configuration that is late because one source that has stopped is waited for,
+// although other nodes have the configuration.
+func TestFetchDoesNotWaitForOneSource(t *testing.T) {
+	w := &configWatcher{configs: fixedVersion{version: 7}, events: event.Discard(), install: func(*route.Table) {}}
+	var sources atomic.Int32
+	f := &fetcher{
+		watcher: w, events: event.Discard(), requested: make(chan struct{}, 1),
+		findSource: func(version uint64) (string, bool) {
+			return fmt.Sprint("node ", sources.Add(1)), version < 7
+		},
+		fetch: func(ctx context.Context, address string) ([]byte, error) {
+			if address == "node 1" {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return []byte("configuration"), nil
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.run(ctx)
+	start := time.Now()
+	f.request()
+	for w.version() != 7 {
+		if time.Since(start) > referenceConfigBound {
+			t.Fatalf("no configuration after %v", referenceConfigBound)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// frozenMembers adds members that accept connections and never respond, and that read the store
+// instead of the node. It returns a function that sends their statuses with the version.
+func frozenMembers(t *testing.T, n *testNode) func(version, sequence uint64) {
+	t.Helper()
+	var addresses []string
+	for len(addresses) < minStoreReaders {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		if address := l.Addr().String(); xxhash.Sum64String(address) < xxhash.Sum64String(n.settings.PeerAddress) {
+			addresses = append(addresses, address)
+		}
+	}
+	return func(version, sequence uint64) {
+		for _, a := range addresses {
+			n.gossip.receiveStatus(roster.Status{Address: a, Incarnation: 1, Sequence: sequence, Phase: roster.Serving, Domain: "d1", Service: "b", ConfigVersion: version})
+		}
+	}
+}
+
+// Guards against a configuration that is late because all nodes that have reported it have failed
+// before they could send it.
+func TestConfigurationIsReadFromTheStoreWhenAllSourcesAreLost(t *testing.T) {
+	store := newMemoryStore()
+	store.publish(t, 1, "a")
+	n := startNode(t, newSettings(t, "a", 0), &storeClient{memoryStore: store})
+	await.Eventually(t, "version 1", func() bool { return n.watcher.version() == 1 })
+	sendStatuses := frozenMembers(t, n)
+	sendStatuses(1, 1)
+	await.Eventually(t, "the other members read the store", func() bool {
+		_, isReader := n.dir.storeReader()
+		return !isReader
+	})
+	// The node's last read of its own ends.
+	time.Sleep(fleetReadInterval)
+	store.publish(t, 2, "a")
+	start := time.Now()
+	for sequence := uint64(2); n.watcher.version() != 2; sequence++ {
+		if time.Since(start) > referenceConfigBound {
+			t.Fatalf("version 2 is not in force after %v", referenceConfigBound)
+		}
+		sendStatuses(2, sequence)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against receivers that stop reading and keep the only source of a configuration from
+// sending it to others for longer than the bound.
+func TestStalledReceiversHoldSendSlotsBriefly(t *testing.T) {
+	table := largeTable(t)
+	table.Source = []byte(strings.Repeat(string(table.Source), 20))
+	configs := newConfigServer(func() *route.Table { return table }, event.Discard())
+	server := httptest.NewServer(configs)
+	defer server.Close()
+	for range maxConfigSends {
+		c, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if err := c.(*net.TCPConn).SetReadBuffer(4096); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	await.Eventually(t, "both send slots are in use", func() bool { return len(configs.sendSlots) == maxConfigSends })
+	start := time.Now()
+	await.Eventually(t, "a send slot is free", func() bool { return len(configs.sendSlots) < maxConfigSends })
+	if took := time.Since(start); took > referenceConfigBound {
+		t.Errorf("no send slot was free for %v", took)
+	}
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -105,7 +105,10 @@
 	n.dir.sidecar = n.sidecar
 	n.gossip.status, n.gossip.onStatus = n.status, n.handleStatus
 	n.gossip.departure, n.gossip.onDeparture = n.departure, n.handleDeparture
+	timing := configTiming{s.ConfigWithin}
+	timing.check(d.Events)
 	n.peers = relay.NewHTTPPeers()
+	n.peers.SetConfigStallTimeout(timing.scale(configStallTimeout))
 	n.peers.Bodies = n.bodies
 	n.ingress = &relay.Ingress{
 		Names: d.Names, Service: s.Service, Dir: n.dir, Peers: n.peers, Sidecar: n.sidecar, Events: d.Events, Metrics: n.metrics, Bodies: n.bodies,
@@ -113,11 +116,13 @@
 	n.ingress.Provision()
 	n.history = newStoreHistory(d.Events)
 	n.watcher = &configWatcher{
-		configs: d.Configs, events: d.Events, install: n.install, notifyPeers: n.gossip.requestSendToAll, readerRole: n.dir.storeReader, history: n.history,
+		configs: d.Configs, events: d.Events, install: n.install, notifyPeers: n.gossip.requestSendToAll, readerRole: n.dir.storeReader, history: n.history, timing: timing,
 	}
-	n.fetcher = newFetcher(n.watcher, n.dir, n.peers, d.Events)
+	n.fetcher = newFetcher(n.watcher, n.dir, n.peers, timing, d.Events)
 	n.configs = newConfigServer(n.ingress.Table, d.Events)
+	n.configs.timing = timing
 	n.departures = newDepartureStore(s.PeerAddress, d.Registry, n.sidecar, n.history, d.Events)
+	n.departures.readTimeout = s.departureReadTimeout()
 	n.sidecar.SetConfirmDeparture(n.departures.confirm)
 	if !s.FirstStart {
 		n.sidecar.Hold()
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -32,6 +32,12 @@
 	MetricsAddress string
 	// StopWithin is the time limit from the stop signal to the end of the process.
 	StopWithin time.Duration
+	// ConfigWithin is the bound within which an acknowledged configuration is in force at all
+	// nodes, or 0 for referenceConfigBound.
+	ConfigWithin time.Duration
+	// DrainWithin is the bound within which an upstream whose departure is acknowledged gets no
+	// more requests, or 0 for defaultDrainBound.
+	DrainWithin time.Duration
 	// FirstStart is set when the whole fleet starts for the first time and no address is
 	// registered yet.
 	FirstStart bool
@@ -79,6 +85,10 @@
 		return fmt.Errorf("%w: no failure domain", ErrSettings)
 	case s.MemoryBytes < 0:
 		return fmt.Errorf("%w: memory of %d bytes is negative", ErrSettings, s.MemoryBytes)
+	case s.ConfigWithin < 0:
+		return fmt.Errorf("%w: bound %v of the configuration is negative", ErrSettings, s.ConfigWithin)
+	case s.DrainWithin < 0:
+		return fmt.Errorf("%w: bound %v of departures is negative", ErrSettings, s.DrainWithin)
 	case s.StopWithin < minStopTime:
 		return fmt.Errorf("%w: stop time limit %v is below the minimum of %v", ErrSettings, s.StopWithin, minStopTime)
 	}
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -44,9 +45,11 @@
 	peerIdleTimeout = 2 * time.Minute
 	// hopSlack is added to the time limit of a call for the transfer between nodes.
 	hopSlack = 50 * time.Millisecond
-	// configTimeout bounds the transfer of a routing table: 2 MB over the slowest links
-	// of the users' VMs (10 Mbit/s), shared by a few transfers.
+	// configTimeout bounds the transfer of a routing table that makes progress: 2 MB over the
+	// slowest links of the users' VMs (10 Mbit/s), shared by a few transfers.
 	configTimeout = 3 * time.Second
+	// defaultConfigStallTimeout is the time without a byte after which such a transfer fails.
+	defaultConfigStallTimeout = 400 * time.Millisecond
 	// maxConfigBytes bounds the size of a routing table from another node.
 	maxConfigBytes = 16 << 20
 	// maxPeerHeaderBytes bounds the header of another node's response, which contains that
@@ -66,10 +69,15 @@
 	// Bodies limits the memory for responses.
 	Bodies *bodybuf.Budget
 
-	client  *http.Client
-	configs *http.Client
+	client             *http.Client
+	configs            *http.Client
+	configStallTimeout time.Duration
 }
 
+// SetConfigStallTimeout sets the time without a byte after which Config fails. It must be called
+// before the first call.
+func (p *HTTPPeers) SetConfigStallTimeout(d time.Duration) { p.configStallTimeout = d }
+
 // NewHTTPPeers returns an HTTPPeers, which opens connections on demand.
 func NewHTTPPeers() *HTTPPeers { return newHTTPPeers(peerDialTimeout) }
 
@@ -83,7 +91,7 @@
 		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeaderBytes},
 		Timeout:   configTimeout,
 	}
-	return &HTTPPeers{configs: configs, client: &http.Client{
+	return &HTTPPeers{configs: configs, configStallTimeout: defaultConfigStallTimeout, client: &http.Client{
 		Transport: &http.Transport{
 			DialContext:            dialer.DialContext,
 			DisableCompression:     true,
@@ -330,24 +338,46 @@
 
 // Config fetches the encoded routing table that is active at another node.
 func (p *HTTPPeers) Config(ctx context.Context, address string) ([]byte, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := time.AfterFunc(p.configStallTimeout, func() { cancel(errStalled) })
+	defer stall.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ConfigPath, nil)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errPeer, err)
 	}
 	resp, err := p.configs.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errPeer, err)
+		return nil, fmt.Errorf("%w: %w", errPeer, cmp.Or(context.Cause(ctx), err))
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("%w: configuration request returned status %d", errPeer, resp.StatusCode)
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxConfigBytes+1))
+	body := &progressReader{resp.Body, func() { stall.Reset(p.configStallTimeout) }}
+	b, err := io.ReadAll(io.LimitReader(body, maxConfigBytes+1))
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errPeer, err)
+		return nil, fmt.Errorf("%w: %w", errPeer, cmp.Or(context.Cause(ctx), err))
 	}
 	if len(b) > maxConfigBytes {
 		return nil, fmt.Errorf("%w: configuration longer than %d bytes", errPeer, maxConfigBytes)
 	}
 	return b, nil
 }
+
+// errStalled means that a transfer made no progress.
+var errStalled = errors.New("no progress")
+
+// progressReader calls progress whenever bytes arrive.
+type progressReader struct {
+	io.Reader
+	progress func()
+}
+
+func (r *progressReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.progress()
+	}
+	return n, err
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -87,6 +87,8 @@
 	// AvoidedUntil is the time until which requests avoid the node, because a request to
 	// it failed.
 	AvoidedUntil time.Duration
+	// ConfigFailedAt is when the node last did not send its configuration.
+	ConfigFailedAt time.Duration
 	// Departure is the last upstream at the node that has left, unless another one has
 	// followed.
 	Departure Departure
@@ -123,7 +125,7 @@
 // Add adds a member for an address at which a node may exist.
 func (r *Roster) Add(now time.Duration, address string) {
 	if _, ok := r.members[address]; !ok {
-		r.members[address] = &Member{Status: Status{Address: address}, AddedAt: now, LastSeen: neverSeen, Subscribed: true}
+		r.members[address] = &Member{Status: Status{Address: address}, AddedAt: now, LastSeen: neverSeen, ConfigFailedAt: neverSeen, Subscribed: true}
 	}
 }
 
@@ -134,7 +136,7 @@
 func (r *Roster) Observe(now time.Duration, s Status) Change {
 	m := r.members[s.Address]
 	if m == nil {
-		m = &Member{AddedAt: now, LastSeen: neverSeen, Subscribed: true}
+		m = &Member{AddedAt: now, LastSeen: neverSeen, ConfigFailedAt: neverSeen, Subscribed: true}
 		r.members[s.Address] = m
 	}
 	old := m.Status
