Read the store when its readers are lost or cut off

Cause: another node became a reader only after a silence of three status periods, which grow by 30 ms with each member: 3.2 s with 36 nodes, 27 s with 300. Nothing tied that time to config_apply_ms.

Change: the readers report to all nodes that the store is being read, after each read and by turns every 250 to 500 ms. A node that has heard no report for 800 ms, or of no read for 1.1 s, reads the store once after up to 200 ms and reports it. The times are the same at any fleet size, shrink with config_apply_ms and are checked at the start for 12 and 300 nodes. While reads fail, the fleet makes one attempt in 300 ms.

Cost: two to five reports of about 60 bytes a second for each node.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -74,6 +74,7 @@
 	ReadinessChanged    = Event{1510, log.InfoLevel, "readiness changed"}
 	MemberForgotten     = Event{1511, log.InfoLevel, "unresponsive member removed"}
 	DepartureNotStored  = Event{1512, log.WarnLevel, "departure not acknowledged"}
+	StoreReadTakenOver  = Event{1513, log.WarnLevel, "store read in place of its readers"}
 )
 
 // Events of the tools, 1900 to 1999.
--- a/pkg/mesh/config.go
+++ b/pkg/mesh/config.go
@@ -51,6 +51,8 @@
 	readerRole func() (readTurn, bool)
 	history    *storeHistory
 	timing     configTiming
+	// onRead is called after each read of the store, or is nil.
+	onRead func()
 
 	mu               sync.Mutex
 	current          *route.Table
@@ -169,6 +171,9 @@
 		return Position{}, err
 	}
 	w.history.observeRead(next.History)
+	if w.onRead != nil {
+		w.onRead()
+	}
 	if encoded != nil && w.installIfNewer(encoded, "store") {
 		w.notifyPeers()
 	}
@@ -181,7 +186,10 @@
 	defer cancel()
 	_, err := w.read(ctx, nil, 0)
 	if errors.Is(err, ErrHistoryExpired) {
-		return nil
+		err = nil
+	}
+	if err == nil {
+		w.logStoreState(nil)
 	}
 	return err
 }
--- a/pkg/mesh/gossip.go
+++ b/pkg/mesh/gossip.go
@@ -60,6 +60,8 @@
 	departure func() (roster.Departure, bool)
 	// onDeparture is called when another node reports that the own upstream has left.
 	onDeparture func(roster.Departure)
+	// onReadReport is called for each report that the store is being read.
+	onReadReport func(readReport)
 	// updates triggers a status to subscribers within the rate limits, urgent an immediate
 	// status to all members.
 	updates, urgent chan struct{}
@@ -81,7 +83,8 @@
 		dir: dir, conn: conn, events: events, updates: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 		removed: make(chan string, unregisterQueueSize), incarnation: time.Now().UnixMilli(),
 		departure: func() (roster.Departure, bool) { return roster.Departure{}, false }, onDeparture: func(roster.Departure) {},
-		invalid: event.Limiter{Interval: invalidLogInterval},
+		onReadReport: func(readReport) {},
+		invalid:      event.Limiter{Interval: invalidLogInterval},
 	}
 }
 
@@ -311,6 +314,28 @@
 	g.sendDatagram(b, err, to)
 }
 
+// sendReadReport sends the report to all members that are not silent.
+func (g *gossip) sendReadReport(r readReport) {
+	b, err := encodeReadReport(r)
+	for _, address := range g.dir.activeMembers() {
+		g.sendDatagram(b, err, address)
+	}
+}
+
+// activeMembers returns the addresses of the other members that are not silent.
+func (d *directory) activeMembers() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []string
+	now, maxStatusAge := d.now(), silenceThreshold(d.roster.Len())
+	d.roster.Each(func(m *roster.Member) {
+		if m.Status.Address != d.self && now-m.LastSeen <= maxStatusAge {
+			list = append(list, m.Status.Address)
+		}
+	})
+	return list
+}
+
 // sendDatagram sends an encoded message. Messages are repeated, so an error, also that of the
 // encoding, is only logged.
 func (g *gossip) sendDatagram(b []byte, err error, to string) {
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -56,10 +56,11 @@
 	ingress *relay.Ingress
 	peers   *relay.HTTPPeers
 	// bodies limits the memory for bodies of requests and responses.
-	bodies  *bodybuf.Budget
-	watcher *configWatcher
-	history *storeHistory
-	fetcher *fetcher
+	bodies   *bodybuf.Budget
+	watcher  *configWatcher
+	history  *storeHistory
+	fetcher  *fetcher
+	watchdog *watchdog
 	// departures stores the departures of the upstream beside the node.
 	departures *departureStore
 	configs    *configServer
@@ -121,6 +122,8 @@
 	n.fetcher = newFetcher(n.watcher, n.dir, n.peers, timing, d.Events)
 	n.configs = newConfigServer(n.ingress.Table, d.Events)
 	n.configs.timing = timing
+	n.watchdog = newWatchdog(n.dir, n.watcher, timing, n.gossip.sendReadReport, d.Events)
+	n.watcher.onRead, n.gossip.onReadReport = n.watchdog.recordRead, n.watchdog.receive
 	n.departures = newDepartureStore(s.PeerAddress, d.Registry, n.sidecar, n.history, d.Events)
 	n.departures.readTimeout = s.departureReadTimeout()
 	n.sidecar.SetConfirmDeparture(n.departures.confirm)
@@ -203,6 +206,7 @@
 	n.spawn(func() { n.gossip.sendLoop(runCtx) })
 	n.spawn(func() { n.watcher.run(runCtx) })
 	n.spawn(func() { n.fetcher.run(runCtx) })
+	n.spawn(func() { n.watchdog.run(runCtx) })
 	n.spawn(func() { n.register(runCtx) })
 	n.spawn(func() { n.unregister(runCtx) })
 	n.spawn(func() { n.departures.run(runCtx) })
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -38,6 +38,13 @@
 		}
 		return err
 	}
+	if len(b) > 0 && b[0] == readReportPrefix {
+		r, err := decodeReadReport(b)
+		if err == nil && r.Address != g.dir.self {
+			g.onReadReport(r)
+		}
+		return err
+	}
 	s, err := decodeStatus(b)
 	if err == nil {
 		g.receiveStatus(s)
--- a/pkg/mesh/status.go
+++ b/pkg/mesh/status.go
@@ -88,6 +88,47 @@
 // departures from statuses.
 const departureFieldCount = 3
 
+// readReportFieldCount is the number of fields in the array of an encoded read report, which
+// tells it from the other messages. The first one is readReportKind.
+const (
+	readReportFieldCount = 4
+	readReportPrefix     = 0x90 | readReportFieldCount
+	readReportKind       = "store-read"
+)
+
+// encodeReadReport encodes a read report as an array.
+func encodeReadReport(r readReport) ([]byte, error) {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseCompactInts(true)
+	err := e.EncodeArrayLen(readReportFieldCount)
+	if err == nil {
+		err = e.EncodeMulti(readReportKind, r.Address, r.AgeMillis, r.Failed)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("encode read report: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+// decodeReadReport decodes and checks a read report that fills the datagram.
+func decodeReadReport(b []byte) (readReport, error) {
+	var report readReport
+	var kind string
+	r := bytes.NewReader(b)
+	decoder := msgpack.NewDecoder(r)
+	if n, err := decoder.DecodeArrayLen(); err != nil || n != readReportFieldCount {
+		return report, fmt.Errorf("%w: read report of %d fields: %w", roster.ErrInvalid, n, err)
+	}
+	if err := decoder.DecodeMulti(&kind, &report.Address, &report.AgeMillis, &report.Failed); err != nil {
+		return report, fmt.Errorf("decode read report: %w", err)
+	}
+	if kind != readReportKind || r.Len() > 0 {
+		return report, fmt.Errorf("%w: message of kind %.20q with %d bytes after it", roster.ErrInvalid, kind, r.Len())
+	}
+	return report, report.validate()
+}
+
 // departurePrefix is the first byte of an encoded departure: an array of that length.
 const departurePrefix = 0x90 | departureFieldCount
 
--- a/pkg/mesh/timing.go
+++ b/pkg/mesh/timing.go
@@ -52,10 +52,13 @@
 }
 
 // worstDelay returns the longest time until a fleet of the given size applies a change if the
-// nodes that know it are lost.
+// nodes that know it, or all nodes that read the store, are lost or cut off.
 func (t configTiming) worstDelay(members int) time.Duration {
 	distribution := time.Duration(bits.Len(uint(members))) * distributionRoundTime
-	return t.scale(directReadDelay+directReadSpread) + storeCallTime + distribution
+	sourcesLost := directReadDelay + directReadSpread
+	readersLost := maxReportSilence + readerHeadStart + takeoverSpread
+	readersCutOff := maxReadAge + readerHeadStart + takeoverSpread
+	return t.scale(max(sourcesLost, readersLost, readersCutOff)) + storeCallTime + distribution
 }
 
 // check logs fleet sizes for which the bound can't be kept.
