Pause between reads of the store for a version that it doesn't have

Cause: a node that can't fetch a reported version reads the store itself. If another node reports a version that does not exist, each node would do so every 400 to 600 ms for as long as the reports come: with 300 nodes about 600 calls a second.

Change: after a read that found no newer configuration the node pauses for 1 s, doubling up to 30 s.

--- a/pkg/mesh/fetch.go
+++ b/pkg/mesh/fetch.go
@@ -28,6 +28,10 @@
 	// maxParallelFetches is the number of sources that are asked at the same time. The second one
 	// is asked if the first is slow.
 	maxParallelFetches = 2
+	// minStoreReadPause and maxStoreReadPause bound the pause after a read of the store for a
+	// version that another node has reported and that the store doesn't have.
+	minStoreReadPause = time.Second
+	maxStoreReadPause = 30 * time.Second
 	// maxConfigSends is the number of configurations that a node sends concurrently. With
 	// two, the number of nodes that have a new version doubles in each round, and a node
 	// with a slow link still has most of the link for calls.
@@ -55,6 +59,12 @@
 	// sourceFailed records that a source did not send its configuration, or is nil.
 	sourceFailed func(address string)
 	timing       configTiming
+
+	mu sync.Mutex
+	// readPause is the pause after a read of the store that found no newer configuration, and
+	// noReadBefore is when it ends.
+	readPause    time.Duration
+	noReadBefore time.Time
 }
 
 func newFetcher(w *configWatcher, dir *directory, peers *relay.HTTPPeers, timing configTiming, events *event.Logger) *fetcher {
@@ -156,11 +166,41 @@
 		if _, behind := f.findSource(f.watcher.version()); !behind {
 			return
 		}
-		if err := f.readStore(ctx); err != nil && ctx.Err() == nil {
+		if !f.mayReadStore() {
+			continue
+		}
+		before := f.watcher.version()
+		err := f.readStore(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
 			f.events.Emit(event.LogUnreachable, event.Fields{"error": err.Error(), "call": "read configuration"})
 			delay = max(delay, maxRetryDelay)
+			continue
 		}
+		f.recordStoreRead(f.watcher.version() > before)
+	}
+}
+
+// mayReadStore reports whether the pause after the last read has ended.
+func (f *fetcher) mayReadStore() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !time.Now().Before(f.noReadBefore)
+}
+
+// recordStoreRead starts a longer pause if the read found no newer configuration: another node
+// reports a version that does not exist.
+func (f *fetcher) recordStoreRead(newer bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if newer {
+		f.readPause, f.noReadBefore = 0, time.Time{}
+		return
 	}
+	f.readPause = min(maxStoreReadPause, max(minStoreReadPause, 2*f.readPause))
+	f.noReadBefore = time.Now().Add(f.readPause)
 }
 
 // recordConfigFailure records that a node did not send its configuration.
