Send late heartbeats after a loss of all nodes in the soak

Cause: the soak killed all nodes and drained upstreams, but no heartbeat from before a drain arrived afterwards, which is how an upstream that had left came into use again.

Change: after "kill all", each upstream sends its first heartbeat once more.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -15,6 +15,9 @@
 	inject func(*soak, *vm, *rand.Rand) error
 }
 
+// lateHeartbeatDelay is the time from the start of all nodes to a late heartbeat of each upstream.
+const lateHeartbeatDelay = 300 * time.Millisecond
+
 var faults = []fault{
 	{"kill", func(_ *soak, v *vm, r *rand.Rand) error {
 		if err := v.signal(syscall.SIGKILL); err != nil {
@@ -51,6 +54,12 @@
 				return err
 			}
 		}
+		// A heartbeat from before a drain must not bring the upstream back. A node that is not
+		// up yet gets none.
+		time.Sleep(lateHeartbeatDelay)
+		for _, v := range s.vms {
+			v.upstream.AnnounceLate()
+		}
 		return nil
 	}},
 	{"store", func(s *soak, _ *vm, r *rand.Rand) error {
