Read the store less often while it fails and at starts of the fleet

A node that became a store reader reported that the store was being read before its first read had failed, and each such report ended the pause of all nodes after a failed read. After the loss of all nodes each new process, which knew none of the others yet, took over the reads, and read the store for a version that its first sources were too busy to send.

Change: a report ends the pause only if it tells of a newer read, and a reader reports by turns only while it knows of a recent one. A new process leaves the reads to others for 2 s; without any configuration it reads the store after noConfigTimeout only, as before.

--- a/pkg/mesh/fetch.go
+++ b/pkg/mesh/fetch.go
@@ -166,10 +166,12 @@
 		if _, behind := f.findSource(f.watcher.version()); !behind {
 			return
 		}
-		if !f.mayReadStore() {
+		before := f.watcher.version()
+		// A node without any configuration reads the store by configWatcher.run, after
+		// noConfigTimeout: at a start of the fleet, sources are few.
+		if before == 0 || !f.mayReadStore() {
 			continue
 		}
-		before := f.watcher.version()
 		err := f.readStore(ctx)
 		if ctx.Err() != nil {
 			return
--- a/pkg/mesh/watchdog.go
+++ b/pkg/mesh/watchdog.go
@@ -33,6 +33,10 @@
 // fail.
 const failedReadGap = 300 * time.Millisecond
 
+// startGrace is the time after the start in which a node leaves the reads to the others, of which
+// it does not know all yet.
+const startGrace = 2 * time.Second
+
 // maxReportedReadAge is the highest age in a report.
 const maxReportedReadAge = 24 * time.Hour
 
@@ -90,7 +94,7 @@
 // this node knows of the read.
 func (w *watchdog) recordRead() {
 	w.mu.Lock()
-	w.lastRead, w.notBefore = w.now(), 0
+	w.lastRead, w.notBefore = max(w.lastRead, w.now()), 0
 	w.mu.Unlock()
 	w.report(false)
 }
@@ -103,9 +107,11 @@
 	if r.Failed {
 		w.postpone(now)
 	} else {
-		w.lastReport, w.notBefore = now, 0
-		w.lastRead = max(w.lastRead, now-time.Duration(r.AgeMillis)*time.Millisecond)
-		w.spread = rand.Float64()
+		w.lastReport, w.spread = max(w.lastReport, now), rand.Float64()
+		if read := now - time.Duration(r.AgeMillis)*time.Millisecond; read > w.lastRead {
+			// Reads succeed again.
+			w.lastRead, w.notBefore = read, 0
+		}
 	}
 	notify(w.changed)
 }
@@ -128,17 +134,19 @@
 	return max(due+w.timing.scale(delay), w.notBefore)
 }
 
-// reportDue returns when this node, a store reader, must send a report.
-func (w *watchdog) reportDue() time.Duration {
+// reportDue returns when this node, a store reader, must send a report, and false if it knows of
+// no recent read.
+func (w *watchdog) reportDue(now time.Duration) (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.lastReport + w.timing.scale(reportPeriod+time.Duration(w.spread*float64(reportPeriod)))
+	due := w.lastReport + w.timing.scale(reportPeriod+time.Duration(w.spread*float64(reportPeriod)))
+	return due, now-w.lastRead <= w.timing.scale(maxReadAge+takeoverSpread)
 }
 
 // run watches the reads of the store until the context ends.
 func (w *watchdog) run(ctx context.Context) {
 	w.mu.Lock()
-	w.lastReport, w.lastRead = w.now(), w.now()
+	w.lastReport, w.lastRead = w.now()+startGrace, w.now()+startGrace
 	w.mu.Unlock()
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
@@ -149,16 +157,17 @@
 			continue
 		}
 		now, due := w.now(), w.readDue(isReader)
+		reportDue, mayReport := w.reportDue(now)
 		switch {
 		case now >= due && w.readAndReport(ctx):
 			retryDelay = minRetryDelay
 		case now >= due:
 			w.backOff(retryDelay)
 			retryDelay = min(maxRetryDelay, retryDelay*2)
-		case isReader && now >= w.reportDue():
+		case isReader && mayReport && now >= reportDue:
 			w.report(false)
-		case isReader:
-			w.wait(ctx, min(due, w.reportDue())-now)
+		case isReader && mayReport:
+			w.wait(ctx, min(due, reportDue)-now)
 		default:
 			w.wait(ctx, min(due-now, rolePollInterval))
 		}
@@ -209,9 +218,9 @@
 func (w *watchdog) report(failed bool) {
 	w.mu.Lock()
 	now := w.now()
-	r := readReport{Address: w.self, AgeMillis: min(now-w.lastRead, maxReportedReadAge).Milliseconds(), Failed: failed}
+	r := readReport{Address: w.self, AgeMillis: max(0, min(now-w.lastRead, maxReportedReadAge)).Milliseconds(), Failed: failed}
 	if !failed {
-		w.lastReport, w.spread = now, rand.Float64()
+		w.lastReport, w.spread = max(w.lastReport, now), rand.Float64()
 	}
 	w.mu.Unlock()
 	w.send(r)
