--- a/pkg/mesh/timing.go
+++ b/pkg/mesh/timing.go
@@ -17,8 +17,9 @@
 	// asks another one as well.
 	fetchHedgeDelay = 200 * time.Millisecond
 	// configStallTimeout is the time without a byte after which a transfer of a configuration
-	// is given up, by the receiver and by the sender.
-	configStallTimeout = 400 * time.Millisecond
+	// is given up, by the receiver and by the sender. The sender may have to compress the
+	// configuration first, on a busy VM.
+	configStallTimeout = time.Second
 	// directReadDelay is how long a node tries to fetch a newer configuration from other nodes
 	// before it reads the store itself. It adds a random time up to directReadSpread.
 	directReadDelay  = 400 * time.Millisecond
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -48,8 +48,6 @@
 	// configTimeout bounds the transfer of a routing table that makes progress: 2 MB over the
 	// slowest links of the users' VMs (10 Mbit/s), shared by a few transfers.
 	configTimeout = 3 * time.Second
-	// defaultConfigStallTimeout is the time without a byte after which such a transfer fails.
-	defaultConfigStallTimeout = 400 * time.Millisecond
 	// maxConfigBytes bounds the size of a routing table from another node.
 	maxConfigBytes = 16 << 20
 	// maxPeerHeaderBytes bounds the header of another node's response, which contains that
@@ -74,8 +72,8 @@
 	configStallTimeout time.Duration
 }
 
-// SetConfigStallTimeout sets the time without a byte after which Config fails. It must be called
-// before the first call.
+// SetConfigStallTimeout sets the time without a byte after which Config fails; without it, only
+// the time limit of the whole transfer applies. It must be called before the first call.
 func (p *HTTPPeers) SetConfigStallTimeout(d time.Duration) { p.configStallTimeout = d }
 
 // NewHTTPPeers returns an HTTPPeers, which opens connections on demand.
@@ -91,7 +89,7 @@
 		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeaderBytes},
 		Timeout:   configTimeout,
 	}
-	return &HTTPPeers{configs: configs, configStallTimeout: defaultConfigStallTimeout, client: &http.Client{
+	return &HTTPPeers{configs: configs, configStallTimeout: configTimeout, client: &http.Client{
 		Transport: &http.Transport{
 			DialContext:            dialer.DialContext,
 			DisableCompression:     true,
