Pause after reads of the store that it rejects

Cause: the watchdog took a read that failed with ErrHistoryExpired for one that succeeded, but no read was recorded, so it tried again at once.

Change: readNewest returns the error, and the watchdog backs off.

--- a/pkg/mesh/config.go
+++ b/pkg/mesh/config.go
@@ -185,9 +185,6 @@
 	ctx, cancel := context.WithTimeout(ctx, w.timing.scale(directReadTimeout))
 	defer cancel()
 	_, err := w.read(ctx, nil, 0)
-	if errors.Is(err, ErrHistoryExpired) {
-		err = nil
-	}
 	if err == nil {
 		w.logStoreState(nil)
 	}
--- a/pkg/mesh/watchdog_test.go
+++ b/pkg/mesh/watchdog_test.go
@@ -245,3 +245,21 @@
 		}
 	}
 }
+
+// Guards against reads without a pause by the watchdog while the store rejects all of them.
+func TestRejectedReadsInPlaceOfReadersArePaused(t *testing.T) {
+	store := newMemoryStore()
+	store.publish(t, 1, "a")
+	n := startNode(t, newSettings(t, "a", 0), &storeClient{memoryStore: store})
+	await.Eventually(t, "version 1", func() bool { return n.watcher.version() == 1 })
+	store.mu.Lock()
+	store.expired, store.reads = true, 0
+	store.mu.Unlock()
+	const watched = startGrace + 2*time.Second
+	time.Sleep(watched)
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	if limit := 2 * int(watched/minRetryDelay); store.reads > limit {
+		t.Errorf("%d reads in %v, want at most %d", store.reads, watched, limit)
+	}
+}
