Hold reads in the idle limit's test only after the previous one ended

Cause, in the test: SetReadDeadline asks whether reads are held before it sets the deadline. If the test began to hold reads between the two and sent its second request, the background read of the first request returned a byte and was held after the only deadline that would have released it. No code of the product is involved.

Change: reads are held from the idle state on, which net/http reports after the background read has ended, and the second request is written before the idle limit starts. The connections are TCP connections, as in the product, so that a read that comes late does not look idle. A response is awaited for 10 s at most.

With conn.Close in place of the read deadline in callerConnections.expire, the test fails in 3 of 3 runs.

--- a/pkg/mesh/connections_test.go
+++ b/pkg/mesh/connections_test.go
@@ -33,7 +33,19 @@
 
 func request(t *testing.T, conn net.Conn) error {
 	t.Helper()
-	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+	if err := writeRequest(conn); err != nil {
+		return err
+	}
+	return readResponse(conn)
+}
+
+func writeRequest(conn net.Conn) error {
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	return err
+}
+
+func readResponse(conn net.Conn) error {
+	if err := conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
 		return err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -90,14 +102,14 @@
 // heldConn delays the delivery of the bytes that a read returns until the connection is
 // closed or its read deadline passes, once hold is set.
 type heldConn struct {
-	net.Conn
+	*net.TCPConn
 	hold    *atomic.Bool
 	expired chan struct{}
 	once    sync.Once
 }
 
 func (c *heldConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.TCPConn.Read(p)
 	if n > 0 && c.hold.Load() {
 		<-c.expired
 	}
@@ -106,14 +118,14 @@
 
 func (c *heldConn) Close() error {
 	c.once.Do(func() { close(c.expired) })
-	return c.Conn.Close()
+	return c.TCPConn.Close()
 }
 
 func (c *heldConn) SetReadDeadline(at time.Time) error {
 	if !at.IsZero() && time.Now().After(at) && c.hold.Load() {
 		c.once.Do(func() { close(c.expired) })
 	}
-	return c.Conn.SetReadDeadline(at)
+	return c.TCPConn.SetReadDeadline(at)
 }
 
 type heldListener struct {
@@ -126,7 +138,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &heldConn{Conn: c, hold: l.hold, expired: make(chan struct{})}, nil
+	return &heldConn{TCPConn: c.(*net.TCPConn), hold: l.hold, expired: make(chan struct{})}, nil
 }
 
 // Guards against closing a connection whose request has been read when the idle limit ends:
@@ -139,9 +151,21 @@
 	c := newCallerConnections(func() *route.Table { return table })
 	var hold atomic.Bool
 	var handled atomic.Int64
+	sent := make(chan struct{})
+	endSent := sync.OnceFunc(func() { close(sent) })
+	defer endSent()
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) }))
 	server.Listener = heldListener{server.Listener, &hold}
-	server.Config.ConnState, server.Config.ConnContext = c.trackState, c.connContext
+	server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
+		if state == http.StateIdle {
+			// Before this state, net/http waits for the read that it keeps open during a
+			// handler. Holding that read would block the server forever.
+			hold.Store(true)
+			<-sent
+		}
+		c.trackState(conn, state)
+	}
+	server.Config.ConnContext = c.connContext
 	server.Start()
 	t.Cleanup(server.Close)
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
@@ -152,8 +176,11 @@
 	if err := request(t, conn); err != nil {
 		t.Fatal(err)
 	}
-	hold.Store(true)
-	if err := request(t, conn); err != nil {
+	if err := writeRequest(conn); err != nil {
+		t.Fatal(err)
+	}
+	endSent()
+	if err := readResponse(conn); err != nil {
 		t.Errorf("%d requests handled, second response: %v", handled.Load(), err)
 	}
 }
