--- a/pkg/mesh/fetch_test.go
+++ b/pkg/mesh/fetch_test.go
@@ -244,6 +244,24 @@
 	}
 }
 
+// Guards against reads of the store by all nodes of a fleet that starts, in which few nodes have a
+// configuration to send.
+func TestFirstConfigurationIsNotReadBesideFetches(t *testing.T) {
+	var reads atomic.Int32
+	f := &fetcher{
+		watcher:    &configWatcher{configs: fixedVersion{version: 7}, events: event.Discard()},
+		events:     event.Discard(),
+		findSource: func(uint64) (string, bool) { return "node", true },
+		readStore:  func(context.Context) error { reads.Add(1); return nil },
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*(directReadDelay+directReadSpread))
+	defer cancel()
+	f.readStoreIfLate(ctx)
+	if n := reads.Load(); n > 0 {
+		t.Errorf("%d reads of the store by a node without a configuration", n)
+	}
+}
+
 // Guards against receivers that stop reading and keep the only source of a configuration from
 // sending it to others for longer than the bound.
 func TestStalledReceiversHoldSendSlotsBriefly(t *testing.T) {
--- a/pkg/mesh/watchdog_test.go
+++ b/pkg/mesh/watchdog_test.go
@@ -15,9 +15,9 @@
 	"github.com/mulberrytray/mulberrytray/pkg/roster"
 )
 
-// lostReaders adds members to the node's roster, of which enough read the store in its place. None
-// of them runs. It returns the addresses of the readers.
-func lostReaders(t *testing.T, n *testNode, members int) []string {
+// lostReaders sends the node the statuses of members, of which enough read the store in its place.
+// None of them runs. It returns the addresses of the readers.
+func lostReaders(t *testing.T, n *testNode, members int, sequence uint64) []string {
 	t.Helper()
 	var readers []string
 	for i := range members {
@@ -25,7 +25,7 @@
 		if xxhash.Sum64String(address) < xxhash.Sum64String(n.settings.PeerAddress) {
 			readers = append(readers, address)
 		}
-		n.gossip.receiveStatus(roster.Status{Address: address, Incarnation: 1, Sequence: 1, Phase: roster.Serving, Domain: "d1", Service: "b", ConfigVersion: 1})
+		n.gossip.receiveStatus(roster.Status{Address: address, Incarnation: 1, Sequence: sequence, Phase: roster.Serving, Domain: "d1", Service: "b", ConfigVersion: 1})
 	}
 	return readers
 }
@@ -36,7 +36,7 @@
 	for range 100 {
 		n := startNode(t, newSettings(t, "a", 0), &storeClient{memoryStore: store})
 		await.Eventually(t, "version 1", func() bool { return n.watcher.version() == 1 })
-		readers := lostReaders(t, n, members)
+		readers := lostReaders(t, n, members, 1)
 		if _, isReader := n.dir.storeReader(); !isReader {
 			// The node's last regular read ends, and it reads no more.
 			time.Sleep(startGrace + fleetReadInterval)
@@ -57,7 +57,7 @@
 			store := newMemoryStore()
 			store.publish(t, 1, "a")
 			n, _ := startNonReader(t, store, members)
-			lostReaders(t, n, members)
+			lostReaders(t, n, members, 2)
 			store.publish(t, 2, "a")
 			start := time.Now()
 			for n.watcher.version() != 2 {
@@ -73,16 +73,18 @@
 // Guards against a configuration that is late because the store readers run, but are cut off from
 // the store.
 func TestConfigurationIsReadWhenReadersAreCutOff(t *testing.T) {
+	const members = 36
 	store := newMemoryStore()
 	store.publish(t, 1, "a")
-	n, readers := startNonReader(t, store, 36)
+	n, readers := startNonReader(t, store, members)
 	store.publish(t, 2, "a")
 	start := time.Now()
-	for n.watcher.version() != 2 {
+	for sequence := uint64(2); n.watcher.version() != 2; sequence++ {
 		age := time.Since(start)
 		if age > referenceConfigBound {
 			t.Fatalf("version 2 is not in force after %v", referenceConfigBound)
 		}
+		lostReaders(t, n, members, sequence)
 		b, err := encodeReadReport(readReport{Address: readers[0], AgeMillis: age.Milliseconds()})
 		if err == nil {
 			err = n.gossip.receive(b)
@@ -92,6 +94,9 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
+	if _, isReader := n.dir.storeReader(); isReader {
+		t.Error("the node became a store reader")
+	}
 }
 
 // watchdogFleet connects watchdogs. Those of lost nodes send and receive no reports.
@@ -183,6 +188,17 @@
 	}
 }
 
+// Guards against reads of the store by nodes that have just started: they receive no reports until
+// the others know them.
+func TestStartingNodesLeaveReadsToOthers(t *testing.T) {
+	const members, starting = 300, 2 * time.Second
+	f := startWatchdogs(t, members, 0)
+	time.Sleep(starting)
+	if n := f.readsSoFar(); n > 0 {
+		t.Errorf("%d reads in %v", n, starting)
+	}
+}
+
 // Guards against a store that is called by all nodes all the time while it fails.
 func TestFailingStoreIsCalledRarely(t *testing.T) {
 	const members, watched = 300, startGrace + 4*time.Second
