Let the memory store of pkg/mesh's tests report a restore at any read

Cause, in the test: Changes of the in-memory store answered a position of an earlier history with that position when no change came, as if nothing had happened. The platform reports its history with each answer, and platform.Store returns ErrHistoryExpired then. If the restore fell into the pause between two reads of all store readers, about 0.2 s after the start, no node ever learned of it. Seen in a run with a print: restored after 233 ms, and 10 s later the newest history was 1 at all 7 nodes.

Change: Changes returns ErrHistoryExpired for a position of another history.

Measured, with the race detector and four to six processes beside other load: 3 of 183 runs failed before, none of 60 after. The product is not changed.

--- a/pkg/mesh/helper_test.go
+++ b/pkg/mesh/helper_test.go
@@ -123,17 +123,24 @@
 	}
 	behind := position.Offset < s.position
 	s.mu.Unlock()
+	ended := false
 	if !behind {
 		select {
 		case <-ctx.Done():
 			return nil, Position{}, ctx.Err()
 		case <-time.After(wait):
-			return nil, position, nil
+			ended = true
 		case <-changed:
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	switch {
+	case s.history != position.History:
+		return nil, Position{}, ErrHistoryExpired
+	case ended:
+		return nil, position, nil
+	}
 	return s.encoded, Position{s.history, s.position}, nil
 }
 
