Repeat a lost read of a late configuration within its bound

What callers could see: a node that lacks a configuration, and whose sources don't respond, reads the store itself after 400 to 600 ms. If that one read was lost, the next one came 1.5 s later, more than the bound of 2 s after the acknowledgement.

Cause: the pause after a failed read was not derived from the bound. It was also lost when the node gave up fetching and began again, so that a failing store was read more often than the pause says.

Change: the first failure is followed by the normal delay, further ones by the pause of 1.5 s, as long as the node has the same version. The check at the start counts one lost read.

Result: TestLostReadOfTheStoreIsRepeatedInTime failed before (one read in 2 s) and passes. TestFailingReadsBesideFetchesArePaused: 7 and 8 reads in 5 s before, at most 6 allowed.

--- a/pkg/mesh/fetch.go
+++ b/pkg/mesh/fetch.go
@@ -61,9 +61,13 @@
 	timing       configTiming
 
 	mu sync.Mutex
-	// readPause is the pause after a read of the store that found no newer configuration, and
-	// noReadBefore is when it ends.
-	readPause    time.Duration
+	// readPause is the pause after a read of the store that found no newer configuration.
+	readPause time.Duration
+	// failedReads is the number of reads of the store that have failed since this node has had
+	// failedVersion.
+	failedReads   int
+	failedVersion uint64
+	// noReadBefore is the earliest time of the next read of the store.
 	noReadBefore time.Time
 }
 
@@ -161,8 +165,7 @@
 	if f.readStore == nil {
 		return
 	}
-	delay := f.timing.scale(directReadDelay)
-	for sleep(ctx, delay+rand.N(f.timing.scale(directReadSpread))) {
+	for sleep(ctx, f.timing.scale(directReadDelay+rand.N(directReadSpread))) {
 		if _, behind := f.findSource(f.watcher.version()); !behind {
 			return
 		}
@@ -178,7 +181,7 @@
 		}
 		if err != nil {
 			f.events.Emit(event.LogUnreachable, event.Fields{"error": err.Error(), "call": "read configuration"})
-			delay = max(delay, maxRetryDelay)
+			f.recordFailedRead(before)
 			continue
 		}
 		f.recordStoreRead(f.watcher.version() > before)
@@ -192,11 +195,26 @@
 	return !time.Now().Before(f.noReadBefore)
 }
 
+// recordFailedRead starts a pause if reads have failed repeatedly while this node had the version.
+// The first one is repeated without a pause, within the bound of the configuration: a call may be
+// lost.
+func (f *fetcher) recordFailedRead(version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version != f.failedVersion {
+		f.failedReads, f.failedVersion = 0, version
+	}
+	if f.failedReads++; f.failedReads > 1 {
+		f.noReadBefore = time.Now().Add(maxRetryDelay)
+	}
+}
+
 // recordStoreRead starts a longer pause if the read found no newer configuration: another node
 // reports a version that does not exist.
 func (f *fetcher) recordStoreRead(newer bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.failedReads = 0
 	if newer {
 		f.readPause, f.noReadBefore = 0, time.Time{}
 		return
--- a/pkg/mesh/fetch_test.go
+++ b/pkg/mesh/fetch_test.go
@@ -244,6 +244,69 @@
 	}
 }
 
+// Guards against a configuration that is late because one read of the store was lost and the next
+// one came only after the bound, while the sources of the configuration did not respond.
+func TestLostReadOfTheStoreIsRepeatedInTime(t *testing.T) {
+	var reads atomic.Int32
+	f := &fetcher{
+		watcher:    &configWatcher{configs: fixedVersion{version: 6}, events: event.Discard(), install: func(*route.Table) {}},
+		events:     event.Discard(),
+		requested:  make(chan struct{}, 1),
+		findSource: func(version uint64) (string, bool) { return "node", version < 7 },
+		fetch: func(ctx context.Context, _ string) ([]byte, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		},
+	}
+	f.watcher.installIfNewer([]byte("configuration"), "store")
+	f.readStore = func(ctx context.Context) error {
+		if reads.Add(1) == 1 {
+			sleep(ctx, directReadTimeout)
+			return errStoreDown
+		}
+		f.watcher.configs = fixedVersion{version: 7}
+		f.watcher.installIfNewer([]byte("configuration"), "store")
+		return nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.run(ctx)
+	start := time.Now()
+	f.request()
+	for f.watcher.version() != 7 {
+		if time.Since(start) > referenceConfigBound {
+			t.Fatalf("no configuration after %v and %d reads of the store", referenceConfigBound, reads.Load())
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against reads of the store without a pause by nodes that lack a configuration while the
+// store fails.
+func TestFailingReadsBesideFetchesArePaused(t *testing.T) {
+	const watched = 5 * time.Second
+	var reads atomic.Int32
+	f := &fetcher{
+		watcher:    &configWatcher{configs: fixedVersion{version: 6}, events: event.Discard(), install: func(*route.Table) {}},
+		events:     event.Discard(),
+		requested:  make(chan struct{}, 1),
+		findSource: func(uint64) (string, bool) { return "node", true },
+		fetch:      func(context.Context, string) ([]byte, error) { return nil, errStoreDown },
+		readStore:  func(context.Context) error { reads.Add(1); return errStoreDown },
+	}
+	f.watcher.installIfNewer([]byte("configuration"), "store")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.run(ctx)
+	for start := time.Now(); time.Since(start) < watched; time.Sleep(10 * time.Millisecond) {
+		f.request()
+	}
+	// At most one read in directReadDelay at first, and one in maxRetryDelay after the third.
+	if n := int(reads.Load()); n < 2 || n > 3+int(watched/maxRetryDelay) {
+		t.Errorf("%d reads of the store in %v", n, watched)
+	}
+}
+
 // Guards against reads of the store by all nodes of a fleet that starts, in which few nodes have a
 // configuration to send.
 func TestFirstConfigurationIsNotReadBesideFetches(t *testing.T) {
--- a/pkg/mesh/timing.go
+++ b/pkg/mesh/timing.go
@@ -56,10 +56,11 @@
 // nodes that know it, or all nodes that read the store, are lost or cut off.
 func (t configTiming) worstDelay(members int) time.Duration {
 	distribution := time.Duration(bits.Len(uint(members))) * distributionRoundTime
-	sourcesLost := directReadDelay + directReadSpread
+	// Each node reads the store itself. Its first read may be lost.
+	sourcesLost := 2*(directReadDelay+directReadSpread) + directReadTimeout
 	readersLost := maxReportSilence + readerHeadStart + takeoverSpread
 	readersCutOff := maxReadAge + readerHeadStart + takeoverSpread
-	return t.scale(max(sourcesLost, readersLost, readersCutOff)) + storeCallTime + distribution
+	return max(t.scale(sourcesLost)+2*storeCallTime, t.scale(max(readersLost, readersCutOff))+storeCallTime+distribution)
 }
 
 // check logs fleet sizes for which the bound can't be kept.
