Leave a part of the control budget to fetches of a configuration

Cause: probes may use the whole budget of control bytes and fetches leave a tenth of it to them. With a probe period of 50 ms, which the settings allow and the test uses, probes alone ask for more than 7 KB/s, so that the bucket seldom holds the tenth. Seen with prints: the node asked again and again, and its own budget or that of the source refused ("control budget exhausted"). Load decides how many probes fit before the first fetch. Ruled out: the merge of the configuration, and the join, which took less than 0.1 s.

Change: probes leave a tenth of the burst to fetches, which leave nothing to them: fetches are rare, and a node without a configuration cannot serve.

--- a/pkg/membership/budget.go
+++ b/pkg/membership/budget.go
@@ -26,8 +26,10 @@
 
 // reserveFractions are the fractions of the burst that a class leaves to other
 // classes. With 0.3 for list comparisons, urgent updates exceeded the budget while
-// nodes joined: in 1 of 15 runs a drain had not reached all nodes after 3 s.
-var reserveFractions = [...]float64{classProbe: 0, classUrgent: 0.2, classFetch: 0.1, classSync: 0.4}
+// nodes joined: in 1 of 15 runs a drain had not reached all nodes after 3 s. Probes
+// leave a reserve to fetches, which are rare: frequent probes use all that is left, and
+// a node without a configuration cannot serve.
+var reserveFractions = [...]float64{classProbe: 0.1, classUrgent: 0.2, classFetch: 0, classSync: 0.4}
 
 // budget is a token bucket for control bytes, sent and received. It is safe for
 // concurrent use. Received bytes can make the token count negative, which delays
--- a/pkg/membership/fake_test.go
+++ b/pkg/membership/fake_test.go
@@ -32,6 +32,8 @@
 	// logAddresses.
 	useLog       bool
 	logAddresses []string
+	// period is the time between two probes, or 0 for the default.
+	period time.Duration
 }
 
 // maxLogAddresses is the number of newest addresses that a node reads from the log.
@@ -71,7 +73,7 @@
 // start runs a node at address i and replaces the node at that address, if any.
 func (n *network) start(i int, id string, incarnation uint64) *fakeNode {
 	f := &fakeNode{net: n, addr: address(i), done: make(chan struct{})}
-	f.agent = NewAgent(Config{}, &pb.Member{
+	f.agent = NewAgent(Config{Period: n.period}, &pb.Member{
 		NodeId: id, Incarnation: incarnation, PeerAddress: f.addr, Service: "katalog",
 		Region: "ostregion", FailureDomain: "vie-hall1", UpstreamState: pb.UpstreamState_UPSTREAM_STATE_READY,
 	}, f, event.Discard())
@@ -215,13 +217,20 @@
 // runFleetWith starts the nodes at intervals of gap. They discover each other through
 // the log or through the address of the first node.
 func runFleetWith(t *testing.T, n int, gap time.Duration, useLog bool, f func(*fleet)) {
+	t.Helper()
+	net := newNetwork()
+	net.useLog = useLog
+	runFleetOn(t, net, n, gap, f)
+}
+
+// runFleetOn starts the nodes on the network at intervals of gap.
+func runFleetOn(t *testing.T, net *network, n int, gap time.Duration, f func(*fleet)) {
 	t.Helper()
 	if !*measure {
 		t.Parallel()
 	}
 	synctest.Test(t, func(t *testing.T) {
-		fl := &fleet{network: newNetwork(), t: t}
-		fl.useLog = useLog
+		fl := &fleet{network: net, t: t}
 		ctx, cancel := context.WithCancel(context.Background())
 		watcherDone := make(chan struct{})
 		go func() { defer close(watcherDone); fl.watchBytes(ctx) }()
--- a/pkg/membership/swim_test.go
+++ b/pkg/membership/swim_test.go
@@ -215,6 +215,29 @@
 	})
 }
 
+// Guards against a configuration that a node cannot fetch because frequent probes use up the
+// budget.
+func TestFrequentProbesLeaveBudgetForFetches(t *testing.T) {
+	const snapshotBytes, checkInterval, bound = 2000, 500 * time.Millisecond, 5 * time.Second
+	net := newNetwork()
+	net.period = 50 * time.Millisecond
+	runFleetOn(t, net, 3, time.Second, func(fl *fleet) {
+		fl.within(joinBound, "all joined", func() bool { return fl.complete(3) })
+		last, longest := time.Now(), time.Duration(0)
+		for end := time.Now().Add(5 * time.Minute); time.Now().Before(end); {
+			time.Sleep(jitter(checkInterval))
+			if fl.list[1].agent.AllowFetch() && fl.list[0].agent.AllowServe(snapshotBytes) {
+				fl.list[1].agent.ChargeFetch(snapshotBytes)
+				last = time.Now()
+			}
+			longest = max(longest, time.Since(last))
+		}
+		if longest > bound {
+			t.Errorf("no fetch was possible for %v, want at most %v", longest, bound)
+		}
+	})
+}
+
 // Guards against a suspicion caused by a single broken path: an indirect probe through
 // another member must succeed.
 func TestIndirectProbeAvoidsSuspicion(t *testing.T) {
