Test that calls of callers who leave are forgotten

Change: TestCallsOfCallersWhoLeaveAreForgotten: 20 callers leave one after the other while the only slot is taken; after each, no call waits. A comment in pkg/mesh is wrapped.

--- a/pkg/mesh/register.go
+++ b/pkg/mesh/register.go
@@ -95,10 +95,11 @@
 	return d.roster.Len() > before
 }
 
-// registerAndList registers the node's address and returns the content of the registry. If listFirst is set, it registers only if the address is not registered already:
-// addresses stay registered when their node stops, and most are older than the copy from which
-// the store was restored. A node registers before it reads: if two nodes register at the same
-// time, the later one reads the other's address. It fails if the store was restored in between.
+// registerAndList registers the node's address and returns the content of the registry. If
+// listFirst is set, it registers only if the address is not registered already: addresses stay
+// registered when their node stops, and most are older than the copy from which the store was
+// restored. A node registers before it reads: if two nodes register at the same time, the later
+// one reads the other's address. It fails if the store was restored in between.
 func (n *Node) registerAndList(ctx context.Context, listFirst bool) (Registered, error) {
 	if listFirst {
 		registered, err := n.deps.Registry.Registered(ctx)
--- a/pkg/relay/sidecar_test.go
+++ b/pkg/relay/sidecar_test.go
@@ -1,9 +1,14 @@
 package relay
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/mulberrytray/mulberrytray/internal/await"
 )
 
 // A node that starts beside a busy upstream counts the requests that an earlier process
@@ -45,3 +50,40 @@
 		})
 	}
 }
+
+// Guards against memory that grows with each caller who leaves while the call waits for a slot.
+func TestCallsOfCallersWhoLeaveAreForgotten(t *testing.T) {
+	const callers = 20
+	release := make(chan struct{})
+	u := startUpstream(t, func(c net.Conn, r *http.Request) {
+		<-release
+		writeOK(c, r, "")
+	})
+	s := newTestSidecar(u, 1)
+	call := func(ctx context.Context) *Result {
+		return s.Run(ctx, &Call{
+			ID: "1", Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{"X-Request-Id": {"1"}}, Service: "svc", Upstream: "u1",
+			Timeout: time.Minute, Target: time.Minute, TargetLeft: time.Minute,
+		})
+	}
+	waiting := func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.waiting)
+	}
+	var calls sync.WaitGroup
+	calls.Go(func() { call(t.Context()) })
+	await.Eventually(t, "the first call runs", func() bool { return len(u.requests()) == 1 })
+	for range callers {
+		ctx, leave := context.WithCancel(t.Context())
+		calls.Go(func() { call(ctx) })
+		await.Eventually(t, "the call waits", func() bool { return waiting() == 1 })
+		leave()
+		await.Eventually(t, "the call is forgotten", func() bool { return waiting() == 0 })
+	}
+	close(release)
+	calls.Wait()
+	if n := len(u.requests()); n != 1 {
+		t.Errorf("%d requests at the upstream, want 1", n)
+	}
+}
