Add a failing test for the stop of an upstream that was not known yet

Traced: the verdict is Stale, the platform's handler answers 200 all the same, and a late announcement of that instance from before its stop is then accepted.

--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -93,6 +93,21 @@
 	}
 }
 
+// Guards against the stop of an upstream that took the place of the known one and that was not known
+// yet: a late announcement from before the stop would bring it back.
+func TestStopOfNewerUpstreamIsNotForgotten(t *testing.T) {
+	const now = 500
+	for _, start := range []int64{101, 0} {
+		var tr Tracker
+		tr.Observe(Announcement{ID: "a", State: Ready, Slots: 4, StartUnixMillis: 100, Sequence: 5})
+		tr.ObserveStop("b", start, now)
+		tr.Observe(Announcement{ID: "b", State: Ready, Slots: 4, StartUnixMillis: 101, Sequence: 1})
+		if got := tr.Current(); got.ID == "b" && got.State == Ready {
+			t.Errorf("start %d in the stop: the upstream is used after it", start)
+		}
+	}
+}
+
 // Guards against a stored departure that is ignored, or that concerns more than its upstream.
 func TestStoredDeparture(t *testing.T) {
 	tests := []struct {
