Keep a departure when the store returns to an earlier one

Cause: the node took each departure that it read for the newest one. After the restore it forgot the departure that its process had read before, and did not store it again.

Change: what the process has read or stored stays the last departure. Only the processes of this node store its departures, so nothing that it reads later can be newer.

--- a/pkg/mesh/departures.go
+++ b/pkg/mesh/departures.go
@@ -51,8 +51,8 @@
 	readTimeout time.Duration
 
 	mu sync.Mutex
-	// stored is the departure in the store. last is the last one that was there; a restore of
-	// the store may have removed it.
+	// stored is the departure in the store. last is the newest one that this process has read
+	// or stored; a restore of the store may have removed it.
 	stored, last roster.Departure
 	// changed is closed and replaced when stored changes.
 	changed chan struct{}
@@ -137,7 +137,7 @@
 		cancel()
 		if err == nil {
 			s.history.observeRead(history)
-			s.setStored(d)
+			s.recordStored(d)
 			continue
 		}
 		s.events.Emit(event.LogUnreachable, event.Fields{"error": err.Error(), "call": "record departure", "upstream": d.Upstream})
@@ -148,22 +148,33 @@
 	}
 }
 
-func (s *departureStore) setStored(d roster.Departure) {
+// recordStored records that this process has stored the departure.
+func (s *departureStore) recordStored(d roster.Departure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.last = d
+	s.setStored(d)
+}
+
+// setStored records the departure that is in the store. The caller holds mu.
+func (s *departureStore) setStored(d roster.Departure) {
 	s.stored = d
-	if d != (roster.Departure{}) {
-		s.last = d
-	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 // observe processes the departure that the registry contains for this node. It is empty if there
-// is none. A departure that was stored before is missing after a restore of the store.
+// is none. After a restore of the store, it may be older than the last one or missing: only this
+// node's processes store its departures.
 func (s *departureStore) observe(stored roster.Departure) {
+	s.mu.Lock()
+	isNew := s.last == (roster.Departure{}) && stored != s.last
+	if isNew {
+		s.last = stored
+	}
 	s.setStored(stored)
-	if stored != (roster.Departure{}) {
+	s.mu.Unlock()
+	if isNew {
 		s.sidecar.ApplyDeparture(stored)
 	}
 	s.sidecar.Unhold()
