Order starts of an upstream by when their messages arrive

Cause: the tracker took the start with the higher start time for the newer one for good, and the handler answered 200 to the messages that it ignored.

A start time now identifies a start only. A start is later than another one if a message of it arrives more than 8 s (the longest delay of a message) after the first one of the other; until then an id is used only if none of its starts that may be the latest has left. A message without effect is answered with 503. The record in the store and the other nodes keep all departures that matter in place of the one with the highest start time; a start that follows a departure takes it out of the record. Without the registry, one announcement is no sign of life any more. mtmesh standalone has the same class of fault and uses the same order.

An upstream that lives is in use with its first heartbeat that arrives more than 8 s after the start of the process and after the first message of each other start with its id.

Calls to the store: one more append for a start that follows a departure under the same id. Bytes between nodes: up to four departures of about 50 bytes for a restarted node, one before.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -1,6 +1,9 @@
-// Package announce derives the state of an upstream from its announcements.
-// Announcements may arrive late, twice, out of order or after a restart of the
-// upstream, so only the newest announcement of the latest start counts.
+// Package announce derives the state of an upstream from its announcements, which may arrive
+// late, twice, out of order or after a restart of the upstream.
+//
+// The start time in an announcement identifies a start and doesn't order starts: the clock of a
+// VM may be put back by seconds or hours. Starts are ordered by when their announcements
+// arrive.
 package announce
 
 import (
@@ -14,7 +17,7 @@
 	// MaxSlots is the largest number of concurrent requests of one upstream.
 	MaxSlots = 10_000
 	// maxClockLead is how far a start time may be ahead of the receiver's clock, which may
-	// have been set back since the start.
+	// have been put back since the start.
 	maxClockLead = 24 * time.Hour
 	// maxSequence is the largest integer that all JSON libraries represent exactly.
 	maxSequence = 1<<53 - 1
@@ -82,107 +85,11 @@
 	return nil
 }
 
-// ValidateStart checks the start time of an upstream in a message that arrived now. A start
-// time in the future would make all announcements of the upstream itself look stale. Errors
-// wrap ErrInvalid.
+// ValidateStart checks the start time of an upstream in a message that arrived now. Errors wrap
+// ErrInvalid.
 func ValidateStart(startUnixMillis int64, now time.Time) error {
 	if startUnixMillis < 0 || startUnixMillis > now.Add(maxClockLead).UnixMilli() {
 		return fmt.Errorf("%w: start time %d is negative or more than %v ahead", ErrInvalid, startUnixMillis, maxClockLead)
 	}
 	return nil
 }
-
-// Verdict is the effect of an announcement on a Tracker.
-type Verdict int
-
-// Verdicts on an announcement.
-const (
-	// Stale announcements are ignored, because newer information is known.
-	Stale Verdict = iota
-	// Unchanged announcements are the newest, but have the same state, slots and start.
-	Unchanged
-	// Changed announcements changed the state, the slots or the start.
-	Changed
-)
-
-// Tracker stores the newest announcement. It is not safe for concurrent use.
-type Tracker struct {
-	current Announcement
-	// unknownStop is the stop of an upstream of which nothing was known, not even its start
-	// time.
-	unknownStop stop
-	// departed is a stop that an earlier process of the node has recorded.
-	departed stop
-}
-
-// stop is the stop of all starts under an id up to a time, in Unix milliseconds.
-type stop struct {
-	id    string
-	until int64
-}
-
-func (s stop) includes(a Announcement) bool { return a.ID == s.id && a.StartUnixMillis <= s.until }
-
-// Current returns the newest announcement; State is Unknown before the first.
-func (t *Tracker) Current() Announcement { return t.current }
-
-// Observe processes an announcement that just arrived.
-func (t *Tracker) Observe(a Announcement) Verdict {
-	cur := t.current
-	if t.unknownStop.includes(a) || t.departed.includes(a) {
-		return Stale
-	}
-	// An unknown upstream that stopped may have been another one, which has no start time to
-	// compare with.
-	if cur.State == Unknown || a.StartUnixMillis > cur.StartUnixMillis || t.unknownStop.includes(cur) {
-		t.current = a
-		return Changed
-	}
-	if a.StartUnixMillis < cur.StartUnixMillis || a.ID != cur.ID || a.Sequence <= cur.Sequence || cur.State == Gone {
-		return Stale
-	}
-	t.current = a
-	if a.State != cur.State || a.Slots != cur.Slots {
-		return Changed
-	}
-	return Unchanged
-}
-
-// ObserveStop processes the message in which an upstream reports that it is about to
-// stop. Both times are in Unix milliseconds. A zero start means that the message does not
-// contain the start time; then every start before now counts as stopped.
-func (t *Tracker) ObserveStop(id string, start, now int64) Verdict {
-	cur := t.current
-	if cur.State == Unknown {
-		t.current = Announcement{ID: id, State: Gone, StartUnixMillis: startOrNow(start, now)}
-		if start == 0 {
-			t.unknownStop = stop{id, now}
-		}
-		return Changed
-	}
-	if cur.ID != id || (start != 0 && start < cur.StartUnixMillis) || cur.State == Gone {
-		return Stale
-	}
-	t.current.State = Gone
-	t.current.StartUnixMillis = startOrNow(max(cur.StartUnixMillis, start), now)
-	return Changed
-}
-
-// ObserveDeparture processes the stop of an upstream that an earlier process of the node has
-// recorded. Announcements of other upstreams still count, also those of an earlier start: they
-// may come from a VM with another clock that has the same address.
-func (t *Tracker) ObserveDeparture(id string, start int64) Verdict {
-	t.departed = stop{id, start}
-	if !t.departed.includes(t.current) || t.current.State == Unknown || t.current.State == Gone {
-		return Stale
-	}
-	t.current.State, t.current.StartUnixMillis = Gone, start
-	return Changed
-}
-
-func startOrNow(start, now int64) int64 {
-	if start == 0 {
-		return now
-	}
-	return start
-}
--- /dev/null
+++ b/pkg/announce/tracker.go
@@ -0,0 +1,385 @@
+package announce
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// DefaultMaxDelay is the longest time from the sending of an announcement to its arrival.
+	// Upstreams send the next one after a second without an acknowledgement; a partition or a
+	// stalled process holds an announcement for some seconds more.
+	DefaultMaxDelay = 8 * time.Second
+	// unidentifiedStopHold is how long an upstream may go on announcing itself after a stop
+	// message that does not name its start. Upstreams exit some seconds after they have left.
+	unidentifiedStopHold = 30 * time.Second
+	// minRepeatGap is the minimum time between two announcements that show that an upstream
+	// goes on announcing itself. Upstreams announce themselves about every 1.5 s.
+	minRepeatGap = 500 * time.Millisecond
+	// maxStarts is the number of starts that a Tracker remembers. More than two within
+	// DefaultMaxDelay are rare.
+	maxStarts = 8
+	// UnidentifiedStart is the start time of departures whose message did not contain it.
+	UnidentifiedStart = -1
+)
+
+// Verdict is the effect of a message on a Tracker.
+type Verdict int
+
+// Verdicts on a message.
+const (
+	// Refused messages have no effect and must not be acknowledged: it is not yet known that
+	// the upstream is alive, or it is known that it has left.
+	Refused Verdict = iota
+	// Unchanged messages report what is in force already.
+	Unchanged
+	// Changed messages changed the upstream in use, its state or its slots.
+	Changed
+)
+
+// Tracker derives which upstream is at an address and whether it may be used. It is not safe
+// for concurrent use. Its clock is the time since the process began, so that it can't be put
+// back.
+//
+// At most one start is alive at a time, and a message arrives at most MaxDelay after it was
+// sent. So a start that announces itself more than MaxDelay after the first message of another
+// one is the later of both. Until then their order is open, and an id is used only if none of
+// its starts that may be the latest one has left. An upstream that lives goes on announcing
+// itself and is in use again after MaxDelay and one announcement period at most.
+//
+// Starts with other ids don't keep an upstream out of use, since requests name the id that may
+// run them.
+type Tracker struct {
+	// MaxDelay replaces DefaultMaxDelay if it is not zero.
+	MaxDelay time.Duration
+
+	starts []*start
+	// chosen is the start of the upstream in use, or nil.
+	chosen *start
+	// confirmRequired is set while it is not known which upstreams have left.
+	confirmRequired bool
+}
+
+// start is one start of an upstream at the address.
+type start struct {
+	// latest is the announcement with the highest sequence, and the state in force.
+	latest Announcement
+	// identified is set if the start time is known.
+	identified bool
+	// firstSequence is that of the first announcement that arrived, or -1 if none did.
+	firstSequence int64
+	// first is when the first message arrived, or later. previous and last are when the last
+	// but one and the last message arrived, and newest when that with the highest sequence did.
+	first, previous, last, newest time.Duration
+	// healthy is set once a health check has shown that the upstream is alive and not leaving.
+	healthy bool
+}
+
+func (s *start) leaves() bool { return s.latest.State == Draining || s.latest.State == Gone }
+
+func (s *start) id() string { return s.latest.ID }
+
+// recordedOnly reports whether the start is known only from a recorded departure.
+func (s *start) recordedOnly() bool { return s.last == 0 && s.leaves() }
+
+// repeated reports whether the start has gone on announcing itself.
+func (s *start) repeated() bool { return s.last-s.first >= minRepeatGap }
+
+// Departure is a start that has left.
+type Departure struct {
+	ID string
+	// StartUnixMillis is the start time, or UnidentifiedStart.
+	StartUnixMillis int64
+}
+
+// RequireConfirmation sets whether upstreams are used only once they have announced themselves
+// repeatedly or have passed a health check: a single announcement may be a late one of an
+// upstream that has left.
+func (t *Tracker) RequireConfirmation(required bool) {
+	t.confirmRequired = required
+	t.choose()
+}
+
+// Current returns the upstream in use, or else the last one that has left. State is Unknown if
+// there is neither.
+func (t *Tracker) Current() Announcement {
+	if t.chosen == nil {
+		return Announcement{}
+	}
+	return t.chosen.latest
+}
+
+// Observe processes an announcement that arrived at the given time.
+func (t *Tracker) Observe(a Announcement, now time.Duration) Verdict {
+	before := t.Current()
+	s := t.find(a.ID, a.StartUnixMillis)
+	if s == nil || t.restarted(s, a, now) {
+		s = t.add(s, &start{latest: Announcement{ID: a.ID, StartUnixMillis: a.StartUnixMillis}, identified: a.StartUnixMillis != 0, firstSequence: a.Sequence, first: now, last: now})
+	}
+	s.observe(a, now)
+	t.choose()
+	refused := a.State == Ready && !t.mayBeUsed(s) || a.State != Ready && !s.leaves() && !t.superseded(s, anyID)
+	if refused {
+		return Refused
+	}
+	return verdict(before, t.Current())
+}
+
+// observe processes an announcement of the start. Gone is final.
+func (s *start) observe(a Announcement, now time.Duration) {
+	s.arrived(now)
+	isNewest := s.firstSequence < 0 || a.Sequence > s.latest.Sequence || s.latest.State == Unknown
+	if s.firstSequence < 0 {
+		s.firstSequence = a.Sequence
+	}
+	if !isNewest {
+		return
+	}
+	if s.latest.State == Gone {
+		a.State = Gone
+	}
+	s.latest, s.newest = a, now
+}
+
+func (s *start) arrived(now time.Duration) {
+	if now > s.last {
+		s.previous, s.last = s.last, now
+	}
+}
+
+// ObserveStop processes the message in which an upstream reports that it is about to stop. A zero
+// start time means that the message does not contain it.
+func (t *Tracker) ObserveStop(id string, startUnixMillis int64, now time.Duration) Verdict {
+	before := t.Current()
+	if startUnixMillis == 0 {
+		t.stopUnidentified(id, now)
+	} else {
+		t.stop(id, startUnixMillis, now).arrived(now)
+	}
+	t.choose()
+	return verdict(before, t.Current())
+}
+
+// ObserveDeparture processes a departure that an earlier process of the node has recorded, or that
+// this process has recorded itself. Unless it is known, the message that reported it arrived before
+// this process began.
+func (t *Tracker) ObserveDeparture(d Departure) Verdict {
+	before := t.Current()
+	known := t.find(d.ID, d.StartUnixMillis)
+	switch {
+	case d.StartUnixMillis != UnidentifiedStart:
+		t.stop(d.ID, d.StartUnixMillis, 0)
+	case known == nil:
+		t.stopUnidentified(d.ID, 0)
+	}
+	if known == nil {
+		// What is known already is not earlier.
+		last := len(t.starts) - 1
+		t.starts = slices.Insert(t.starts[:last:last], 0, t.starts[last])
+	}
+	t.choose()
+	return verdict(before, t.Current())
+}
+
+// ObserveHealth processes a health check in which the upstream has named its id and stated that
+// it is healthy and not leaving. It reports whether this has made the upstream known. Health
+// checks don't name the service, so they don't replace an upstream that has announced itself.
+func (t *Tracker) ObserveHealth(id string, slots int, now time.Duration) bool {
+	known := slices.ContainsFunc(t.starts, func(s *start) bool { return s.id() == id || !s.recordedOnly() })
+	for _, s := range t.starts {
+		s.healthy = s.healthy || s.id() == id
+	}
+	if !known {
+		t.add(nil, &start{latest: Announcement{ID: id, State: Ready, Slots: slots}, firstSequence: -1, first: now, last: now, healthy: true})
+	}
+	t.choose()
+	return !known
+}
+
+// Departures returns the starts that have left and that no later start with the same id has
+// followed, the last one at the end.
+func (t *Tracker) Departures() []Departure {
+	var list []Departure
+	for _, s := range t.starts {
+		if s.leaves() && !t.superseded(s, sameID) {
+			list = append(list, Departure{s.id(), cmp.Or(s.latest.StartUnixMillis, UnidentifiedStart)})
+		}
+	}
+	return list
+}
+
+func verdict(before, after Announcement) Verdict {
+	if before.ID != after.ID || before.StartUnixMillis != after.StartUnixMillis || before.State != after.State || before.Slots != after.Slots {
+		return Changed
+	}
+	return Unchanged
+}
+
+// mayBeUsed reports whether the start's id is in use or only lacks a confirmation, and the start
+// may be the one that runs.
+func (t *Tracker) mayBeUsed(s *start) bool {
+	if t.superseded(s, anyID) || t.leaving(s.id()) {
+		return false
+	}
+	return t.chosen == nil || t.chosen.leaves() || t.chosen.id() == s.id()
+}
+
+// leaving reports whether a start with the id that may be the latest one has left.
+func (t *Tracker) leaving(id string) bool {
+	return slices.ContainsFunc(t.starts, func(s *start) bool { return s.id() == id && s.leaves() && !t.superseded(s, anyID) })
+}
+
+func (t *Tracker) find(id string, startUnixMillis int64) *start {
+	for _, s := range t.starts {
+		if s.id() == id && s.latest.StartUnixMillis == startUnixMillis {
+			return s
+		}
+	}
+	return nil
+}
+
+// restarted reports whether the announcement comes from a later start with the same id and start
+// time: its sequence is lower than one that arrived more than MaxDelay ago.
+func (t *Tracker) restarted(s *start, a Announcement, now time.Duration) bool {
+	return s.firstSequence >= 0 && a.Sequence <= s.latest.Sequence && now-s.newest > t.maxDelay()
+}
+
+// stop records that a start has left. A start that is not known sent its first message at the
+// given time at the latest.
+func (t *Tracker) stop(id string, startUnixMillis int64, first time.Duration) *start {
+	s := t.find(id, startUnixMillis)
+	if s == nil {
+		s = t.add(nil, &start{latest: Announcement{ID: id, StartUnixMillis: startUnixMillis}, identified: true, firstSequence: -1, first: first, last: first})
+	}
+	s.latest.State = Gone
+	return s
+}
+
+// stopUnidentified records that some start with the id has left.
+func (t *Tracker) stopUnidentified(id string, now time.Duration) {
+	s := &start{latest: Announcement{ID: id, State: Gone, StartUnixMillis: UnidentifiedStart}, firstSequence: -1, first: now, last: now}
+	t.add(t.find(id, UnidentifiedStart), s)
+}
+
+// add adds a start in place of old, if that is not nil. If there are too many, it forgets the one
+// that matters least.
+func (t *Tracker) add(old, s *start) *start {
+	var kept []*start
+	for _, other := range t.starts {
+		if other != old && !t.settled(other) {
+			kept = append(kept, other)
+		}
+	}
+	if len(kept) >= maxStarts {
+		i := slices.Index(kept, slices.MinFunc(kept, t.compareImportance))
+		kept = slices.Delete(kept, i, i+1)
+	}
+	t.starts = append(kept, s)
+	return s
+}
+
+// settled reports whether no more messages of the start can arrive, since another one has been
+// alive for MaxDelay. Departures of other ids are kept as long as there is room.
+func (t *Tracker) settled(s *start) bool {
+	if s == t.chosen || s.leaves() && !t.superseded(s, sameID) {
+		return false
+	}
+	return slices.ContainsFunc(t.starts, func(other *start) bool {
+		return t.follows(other, s) && other.last-other.first > t.maxDelay()
+	})
+}
+
+// compareImportance orders starts by how much their loss would matter: most that of the one in
+// use and of those that have left and may run.
+func (t *Tracker) compareImportance(a, b *start) int {
+	rank := func(s *start) int {
+		switch {
+		case s == t.chosen:
+			return 3
+		case t.superseded(s, anyID):
+			return 0
+		case s.leaves():
+			return 2
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.last, b.last))
+}
+
+func (t *Tracker) maxDelay() time.Duration { return cmp.Or(t.MaxDelay, DefaultMaxDelay) }
+
+// follows reports whether a is certainly a later start than b: a message of a that arrived more
+// than MaxDelay after the first one of b was sent after it.
+func (t *Tracker) follows(a, b *start) bool {
+	if a == b || a.anonymous() && a.id() == b.id() {
+		return false
+	}
+	wait := t.maxDelay()
+	mayBeSame := a.id() == b.id() && (!a.identified || !b.identified && b.leaves())
+	if mayBeSame && !a.startedAfter(b) {
+		wait += unidentifiedStopHold
+	}
+	return a.last-b.first > wait
+}
+
+// anonymous reports whether only the id of the start is known, so that it may be any other one
+// with that id.
+func (s *start) anonymous() bool { return !s.identified && s.firstSequence < 0 }
+
+// startedAfter reports whether s has not announced itself before b, and its first announcement
+// that arrived was the first that it sent.
+func (s *start) startedAfter(b *start) bool {
+	return s.first > b.first && s.firstSequence >= 0 && s.firstSequence <= 1
+}
+
+// matching selects the starts that supersede another one.
+type matching bool
+
+const (
+	anyID  matching = false
+	sameID matching = true
+)
+
+// superseded reports whether another start is certainly later. Two starts that each seem later
+// than the other contradict MaxDelay; then the last message counts.
+func (t *Tracker) superseded(s *start, m matching) bool {
+	return slices.ContainsFunc(t.starts, func(other *start) bool {
+		return (m == anyID || other.id() == s.id()) && t.follows(other, s) && (!t.follows(s, other) || other.last > s.last)
+	})
+}
+
+// choose selects the upstream in use among the starts that may be the latest one. The one in use
+// stays unless another one is preferred.
+func (t *Tracker) choose() {
+	var usable []*start
+	var left *start
+	for _, s := range t.starts {
+		switch {
+		case t.superseded(s, anyID):
+		case s.leaves():
+			if left == nil || s.last >= left.last {
+				left = s
+			}
+		case !t.leaving(s.id()) && (!t.confirmRequired || s.healthy || s.repeated()):
+			usable = append(usable, s)
+		}
+	}
+	var used *start
+	if slices.Contains(usable, t.chosen) {
+		used = t.chosen
+	}
+	for _, s := range usable {
+		if used == nil || preferred(s, used) {
+			used = s
+		}
+	}
+	t.chosen = cmp.Or(used, left)
+}
+
+// preferred reports whether a is more likely than b to be the start that runs while their order is
+// open: a has the later start time, which is right unless a clock was put back, or goes on
+// announcing itself while b does not.
+func preferred(a, b *start) bool {
+	return a.last > b.last && (a.latest.StartUnixMillis > b.latest.StartUnixMillis || a.previous > b.last)
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -100,7 +100,8 @@
 	}
 	n.dir = newDirectory(s.PeerAddress, s.Domain, n.start)
 	n.gossip = newGossip(n.dir, conn, d.Events)
-	n.sidecar = relay.NewSidecar(d.Names, s.Service, s.UpstreamAddress, d.Events, n.gossip.requestSend, n.gossip.requestSendToAll)
+	n.sidecar = relay.NewSidecar(d.Names, s.Service, s.UpstreamAddress, d.Events, n.gossip.requestSend, n.upstreamChanged)
+	n.sidecar.SetMaxAnnouncementDelay(s.MaxAnnouncementDelay)
 	n.bodies = bodybuf.NewBudget(s.bodyMemory())
 	n.sidecar.SetBodies(n.bodies)
 	n.dir.sidecar = n.sidecar
@@ -243,14 +244,19 @@
 	}
 }
 
+// upstreamChanged reports the new state of the upstream beside the node to the other nodes, and
+// stores its departure if it has left.
+func (n *Node) upstreamChanged() {
+	n.gossip.requestSendToAll()
+	n.departures.request()
+}
+
 // departure returns the departure of the upstream beside the node, if it has announced one.
-func (n *Node) departure() (roster.Departure, bool) { return n.departures.current() }
+func (n *Node) departure() (roster.Departure, bool) { return n.departures.last() }
 
 // handleDeparture stops the use of the upstream beside the node if it has left. Another node
 // remembers this from before this process started.
-func (n *Node) handleDeparture(d roster.Departure) {
-	n.sidecar.ApplyStop(d.Upstream, d.StartUnixMillis)
-}
+func (n *Node) handleDeparture(d roster.Departure) { n.sidecar.ApplyDeparture(d) }
 
 // handleStatus processes a status of another node: it passes the suspects to the sidecar,
 // logs changes of the membership, records the
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -73,9 +73,9 @@
 	}
 	g.dir.mu.Lock()
 	change := g.dir.roster.Observe(g.dir.now(), s)
-	departure, missed := g.dir.roster.Member(s.Address).MissedDeparture(s, change)
+	missed := g.dir.roster.Member(s.Address).MissedDepartures(s, change)
 	g.dir.mu.Unlock()
-	if missed {
+	for _, departure := range missed {
 		g.sendDeparture(departure, s.Address)
 	}
 	g.mu.Lock()
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -38,6 +38,9 @@
 	// DrainWithin is the bound within which an upstream whose departure is acknowledged gets no
 	// more requests, or 0 for defaultDrainBound.
 	DrainWithin time.Duration
+	// MaxAnnouncementDelay is how late an announcement of the upstream may arrive, or 0 for
+	// announce.DefaultMaxDelay.
+	MaxAnnouncementDelay time.Duration
 	// FirstStart is set when the whole fleet starts for the first time and no address is
 	// registered yet.
 	FirstStart bool
@@ -89,6 +92,8 @@
 		return fmt.Errorf("%w: bound %v of the configuration is negative", ErrSettings, s.ConfigWithin)
 	case s.DrainWithin < 0:
 		return fmt.Errorf("%w: bound %v of departures is negative", ErrSettings, s.DrainWithin)
+	case s.MaxAnnouncementDelay < 0:
+		return fmt.Errorf("%w: delay %v of announcements is negative", ErrSettings, s.MaxAnnouncementDelay)
 	case s.StopWithin < minStopTime:
 		return fmt.Errorf("%w: stop time limit %v is below the minimum of %v", ErrSettings, s.StopWithin, minStopTime)
 	}
--- a/pkg/mesh/stores.go
+++ b/pkg/mesh/stores.go
@@ -47,10 +47,10 @@
 	// Register adds an address. It returns the history of the store in which it did so, as in
 	// Position.
 	Register(ctx context.Context, address string) (history uint64, err error)
-	// RecordDeparture adds a departure, or replaces the earlier one of the same address. It
-	// returns the history of the store in which it did so.
-	RecordDeparture(ctx context.Context, d roster.Departure) (history uint64, err error)
-	// Unregister removes an address and its departure.
+	// RecordDepartures replaces the departures at an address. It returns the history of the
+	// store in which it did so.
+	RecordDepartures(ctx context.Context, address string, list []roster.Departure) (history uint64, err error)
+	// Unregister removes an address and its departures.
 	Unregister(ctx context.Context, address string) error
 	// Registered returns all registered addresses, the departures, and the history of the
 	// store that contains them.
@@ -60,7 +60,7 @@
 // Registered is the content of the registry.
 type Registered struct {
 	Addresses []string
-	// Departures are the last ones of each address.
-	Departures map[string]roster.Departure
+	// Departures are those at each address, the last one at the end.
+	Departures map[string][]roster.Departure
 	History    uint64
 }
--- a/pkg/relay/probe.go
+++ b/pkg/relay/probe.go
@@ -12,19 +12,22 @@
 	"github.com/mulberrytray/mulberrytray/pkg/exchange"
 )
 
-// Adopt sets the upstream's id and slots from a response of the upstream, for a node
-// that starts beside a running upstream. Announcements take precedence.
+// Adopt applies a health check that the upstream has passed. It sets the upstream's id and slots
+// for a node that starts beside a running upstream. Announcements take precedence.
 func (s *Sidecar) Adopt(id string, load UpstreamLoad) {
 	s.mu.Lock()
-	adopted := s.tracker.Current().State == announce.Unknown && announce.ValidateID(id) == nil && load.Slots > 0
-	if adopted {
-		s.tracker.Observe(announce.Announcement{ID: id, State: announce.Ready, Slots: load.Slots})
+	before, adopted := s.usable(), false
+	if announce.ValidateID(id) == nil && load.Slots > 0 {
+		adopted = s.tracker.ObserveHealth(id, load.Slots, s.now())
 		s.applyState()
 	}
+	changed := s.usable() != before
 	s.mu.Unlock()
 	s.RecordLoad(load)
 	if adopted {
 		s.events.Emit(event.UpstreamReady, event.Fields{"upstream": id, "slots": load.Slots, "source": "health"})
+	}
+	if adopted || changed {
 		s.stateChanged()
 	}
 }
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -53,7 +53,7 @@
 	tracker  announce.Tracker
 	down     bool
 	stopping bool
-	// held is set between Hold and Unhold.
+	// held is set from Hold until EndHold or ConfirmRecords.
 	held bool
 	// stopAt is when the node stops, or zero.
 	stopAt      time.Duration
@@ -100,59 +100,81 @@
 
 func (s *Sidecar) now() time.Duration { return time.Since(s.start) }
 
-// ApplyAnnouncement applies an announcement of the upstream. The announcement is in
-// effect when ApplyAnnouncement returns.
+// SetMaxAnnouncementDelay sets how late announcements may arrive. It must be called before the
+// first announcement. Without it, announce.DefaultMaxDelay applies.
+func (s *Sidecar) SetMaxAnnouncementDelay(d time.Duration) { s.tracker.MaxDelay = d }
+
+// ApplyAnnouncement applies an announcement of the upstream. It is in effect when
+// ApplyAnnouncement returns, unless the verdict is announce.Refused.
 func (s *Sidecar) ApplyAnnouncement(a announce.Announcement) announce.Verdict {
-	s.mu.Lock()
-	verdict := s.tracker.Observe(a)
-	if verdict != announce.Stale {
-		s.down = false
-	}
-	s.applyState()
-	s.mu.Unlock()
-	if verdict == announce.Changed {
-		s.events.Emit(upstreamEvent(a.State), event.Fields{"upstream": a.ID, "born": a.StartUnixMillis, "sequence": a.Sequence, "slots": a.Slots, "state": a.State.String()})
-		s.stateChanged()
-	}
-	return verdict
+	return s.apply("announcement", func(t *announce.Tracker) announce.Verdict {
+		verdict := t.Observe(a, s.now())
+		if a.State == announce.Ready && verdict != announce.Refused {
+			s.down = false
+		}
+		return verdict
+	})
 }
 
-// ApplyStop applies the message in which the upstream reports that it is about to stop.
+// ApplyStop applies the message in which the upstream reports that it is about to stop. The
+// start time is zero if the message does not contain it.
 func (s *Sidecar) ApplyStop(id string, startUnixMillis int64) announce.Verdict {
-	s.mu.Lock()
-	verdict := s.tracker.ObserveStop(id, startUnixMillis, time.Now().UnixMilli())
-	s.applyState()
-	s.mu.Unlock()
-	if verdict == announce.Changed {
-		s.events.Emit(event.UpstreamDraining, event.Fields{"upstream": id, "born": startUnixMillis, "state": announce.Gone.String()})
-		s.stateChanged()
-	}
-	return verdict
+	return s.apply("stop", func(t *announce.Tracker) announce.Verdict { return t.ObserveStop(id, startUnixMillis, s.now()) })
 }
 
 // ApplyDeparture applies a departure that an earlier process of the node has recorded.
 func (s *Sidecar) ApplyDeparture(d roster.Departure) {
+	s.apply("record", func(t *announce.Tracker) announce.Verdict {
+		return t.ObserveDeparture(announce.Departure{ID: d.Upstream, StartUnixMillis: d.StartUnixMillis})
+	})
+}
+
+// apply lets the tracker observe a message from the source, and reports the new state if it has
+// changed.
+func (s *Sidecar) apply(source string, observe func(*announce.Tracker) announce.Verdict) announce.Verdict {
 	s.mu.Lock()
-	verdict := s.tracker.ObserveDeparture(d.Upstream, d.StartUnixMillis)
+	before := s.tracker.Current()
+	verdict := observe(&s.tracker)
+	after := s.tracker.Current()
 	s.applyState()
 	s.mu.Unlock()
-	s.events.Emit(event.UpstreamDraining, event.Fields{"upstream": d.Upstream, "born": d.StartUnixMillis, "state": announce.Gone.String(), "source": "registry"})
-	if verdict == announce.Changed {
+	if before.ID != after.ID || before.StartUnixMillis != after.StartUnixMillis || before.State != after.State || before.Slots != after.Slots {
+		s.events.Emit(upstreamEvent(after.State), event.Fields{
+			"upstream": after.ID, "born": after.StartUnixMillis, "sequence": after.Sequence, "slots": after.Slots, "state": after.State.String(),
+			"source": source, "previous": before.ID, "previous_born": before.StartUnixMillis, "previous_state": before.State.String(),
+		})
 		s.stateChanged()
 	}
+	return verdict
 }
 
-// Hold keeps the upstream out of use until Unhold: it may have left before this process
-// started.
-func (s *Sidecar) Hold() { s.setHeld(true) }
+// Hold keeps the upstream out of use until EndHold or ConfirmRecords: it may have left before
+// this process started.
+func (s *Sidecar) Hold() {
+	s.changeUse(func() {
+		s.held = true
+		s.tracker.RequireConfirmation(true)
+	})
+}
 
-// Unhold ends the effect of Hold.
-func (s *Sidecar) Unhold() { s.setHeld(false) }
+// EndHold lets the upstream be used although the recorded departures are not known. Upstreams
+// must show that they are alive until ConfirmRecords is called.
+func (s *Sidecar) EndHold() { s.changeUse(func() { s.held = false }) }
 
-func (s *Sidecar) setHeld(held bool) {
+// ConfirmRecords records that all recorded departures were applied.
+func (s *Sidecar) ConfirmRecords() {
+	s.changeUse(func() {
+		s.held = false
+		s.tracker.RequireConfirmation(false)
+	})
+}
+
+// changeUse calls change, which may change whether the upstream is in use.
+func (s *Sidecar) changeUse(change func()) {
 	s.mu.Lock()
-	changed := s.held != held && s.tracker.Current().State == announce.Ready
-	s.held = held
+	before := s.usable()
+	change()
+	changed := s.usable() != before
 	s.applyState()
 	s.mu.Unlock()
 	if changed {
@@ -160,13 +182,20 @@
 	}
 }
 
-// Departure returns the id and the start time of the upstream if it has announced that it
-// leaves. The start time is zero if it is not known.
-func (s *Sidecar) Departure() (id string, startUnixMillis int64, leaves bool) {
+// Departures returns the starts of upstreams that have left and that no later one has followed,
+// the last one at the end.
+func (s *Sidecar) Departures() []announce.Departure {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	cur := s.tracker.Current()
-	return cur.ID, cur.StartUnixMillis, cur.State == announce.Draining || cur.State == announce.Gone
+	return s.tracker.Departures()
+}
+
+// Leaves reports whether the last upstream has announced that it leaves.
+func (s *Sidecar) Leaves() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.tracker.Current().State
+	return state == announce.Draining || state == announce.Gone
 }
 
 func upstreamEvent(st announce.State) event.Event {
@@ -229,14 +258,16 @@
 
 // applyState opens or closes the gate by the upstream's state. The lock must be held.
 func (s *Sidecar) applyState() {
-	cur := s.tracker.Current()
-	if cur.State == announce.Ready && !s.down && !s.stopping && !s.held {
-		s.deliver(s.gate.Open(s.now(), cur.Slots))
+	if s.usable() && !s.down && !s.stopping {
+		s.deliver(s.gate.Open(s.now(), s.tracker.Current().Slots))
 		return
 	}
 	s.deliver(s.gate.Close(s.now()))
 }
 
+// usable reports whether an upstream is known that has not left. The lock must be held.
+func (s *Sidecar) usable() bool { return s.tracker.Current().State == announce.Ready && !s.held }
+
 // UpstreamState returns the state of the upstream for other nodes.
 func (s *Sidecar) UpstreamState() roster.Upstream {
 	s.mu.Lock()
--- a/pkg/roster/departure.go
+++ b/pkg/roster/departure.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/mulberrytray/mulberrytray/pkg/announce"
@@ -13,7 +14,8 @@
 type Departure struct {
 	// Address is that of the node beside the upstream.
 	Address string
-	// Upstream is the id of the upstream, and StartUnixMillis its start time.
+	// Upstream is the id of the upstream, and StartUnixMillis its start time or
+	// announce.UnidentifiedStart.
 	Upstream        string
 	StartUnixMillis int64
 }
@@ -27,6 +29,9 @@
 	if err := announce.ValidateID(d.Upstream); err != nil {
 		return fmt.Errorf("%w: departure: %w", ErrInvalid, err)
 	}
+	if d.StartUnixMillis == announce.UnidentifiedStart {
+		return nil
+	}
 	if err := announce.ValidateStart(d.StartUnixMillis, now); err != nil {
 		return fmt.Errorf("%w: departure: %w", ErrInvalid, err)
 	}
@@ -36,17 +41,33 @@
 	return nil
 }
 
-// RecordDeparture stores a departure with its member, if that is known.
+// maxDepartures is the number of departures that are kept for a member.
+const maxDepartures = 4
+
+// RecordDeparture stores a departure with its member, if that is known. Start times don't order
+// departures, since the clock of a VM may be put back, so earlier ones are kept as well.
 func (r *Roster) RecordDeparture(d Departure) {
-	if m := r.members[d.Address]; m != nil && d.StartUnixMillis >= m.Departure.StartUnixMillis {
-		m.Departure = d
+	m := r.members[d.Address]
+	if m == nil || slices.Contains(m.Departures, d) {
+		return
+	}
+	if len(m.Departures) == maxDepartures {
+		m.Departures = m.Departures[1:]
 	}
+	m.Departures = append(m.Departures, d)
 }
 
-// MissedDeparture returns the departure that the sender of a status may not know: its process
-// is new or has just begun to use the upstream that has left.
-func (m *Member) MissedDeparture(s Status, change Change) (Departure, bool) {
-	d, u := m.Departure, s.Upstream
-	concerns := d.Upstream != "" && (u.ID == "" || u.ID == d.Upstream)
-	return d, concerns && (change == Replaced || change == StateChanged && u.Accepting)
+// MissedDepartures returns the departures that the sender of a status may not know: its process
+// is new or has just begun to use an upstream that has left.
+func (m *Member) MissedDepartures(s Status, change Change) []Departure {
+	if change != Replaced && (change != StateChanged || !s.Upstream.Accepting) {
+		return nil
+	}
+	var list []Departure
+	for _, d := range m.Departures {
+		if s.Upstream.ID == "" || s.Upstream.ID == d.Upstream {
+			list = append(list, d)
+		}
+	}
+	return list
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -89,9 +89,8 @@
 	AvoidedUntil time.Duration
 	// ConfigFailedAt is when the node last did not send its configuration.
 	ConfigFailedAt time.Duration
-	// Departure is the last upstream at the node that has left, unless another one has
-	// followed.
-	Departure Departure
+	// Departures are upstreams at the node that have left, the last one at the end.
+	Departures []Departure
 }
 
 // Change is the effect of a status on the roster.
@@ -148,9 +147,6 @@
 		m.AvoidedUntil, m.Slowdown = 0, slowdown.Estimator{}
 	}
 	m.recordSlowdown(now)
-	if s.Upstream.Accepting && s.Upstream.ID != m.Departure.Upstream {
-		m.Departure = Departure{}
-	}
 	if old.Incarnation == 0 || old.Domain != s.Domain || old.Service != s.Service {
 		r.generation++
 	}
--- a/pkg/standalone/announce.go
+++ b/pkg/standalone/announce.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -31,19 +31,16 @@
 	}
 }
 
-// announceHandler orders the incarnations of the upstream by the time of their first
-// announcement, since an incarnation id contains no order.
+// incarnationStart is the start time of all incarnations: their ids alone identify them.
+const incarnationStart = 1
+
+// announceHandler passes announcements to the sidecar. Their order is that of their arrival,
+// since they don't contain any.
 type announceHandler struct {
 	service, address string
 	sidecar          *relay.Sidecar
 	events           *event.Logger
-
-	mu                 sync.Mutex
-	currentIncarnation string
-	startUnixMillis    int64
-	sequence           int64
-	// ended contains the incarnation before the current one.
-	ended map[string]bool
+	sequence         atomic.Int64
 }
 
 func (h *announceHandler) serve(w http.ResponseWriter, r *http.Request) {
@@ -57,8 +54,10 @@
 		outcome.New(http.StatusUnprocessableEntity, outcome.ReasonBadRequest, outcome.NotRun, "another service or address than that of the node's settings").Write(w)
 		return
 	}
-	if h.forward(a) == announce.Stale {
+	if h.forward(a) == announce.Refused {
 		h.events.Emit(event.AnnouncementStale, event.Fields{"upstream": a.Incarnation})
+		outcome.New(http.StatusServiceUnavailable, outcome.ReasonDraining, outcome.NotRun, "the incarnation may have ended").Write(w)
+		return
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(sidecar.AnnounceResponse{Nonce: uuid.NewString(), LeaseMs: leaseTime.Milliseconds()}); err != nil {
@@ -66,31 +65,13 @@
 	}
 }
 
-// forward passes the announcement to the sidecar. Announcements of an incarnation
-// that was replaced are stale.
+// forward passes the announcement to the sidecar. An incarnation that drains doesn't become ready
+// again, so a later announcement of that is late.
 func (h *announceHandler) forward(a sidecar.Announcement) announce.Verdict {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.ended[a.Incarnation] {
-		return announce.Stale
-	}
-	if a.Incarnation != h.currentIncarnation {
-		h.startIncarnation(a.Incarnation)
-	}
-	h.sequence++
-	state := announce.Ready
 	if a.State == sidecar.StateDraining {
-		state = announce.Draining
-	}
-	return h.sidecar.ApplyAnnouncement(announce.Announcement{ID: a.Incarnation, State: state, Slots: a.Slots, StartUnixMillis: h.startUnixMillis, Sequence: h.sequence})
-}
-
-// startIncarnation replaces the current incarnation. The caller holds mu.
-func (h *announceHandler) startIncarnation(incarnation string) {
-	if h.currentIncarnation != "" {
-		// Only the previous incarnation can still have announcements in flight.
-		h.ended = map[string]bool{h.currentIncarnation: true}
+		return h.sidecar.ApplyStop(a.Incarnation, incarnationStart)
 	}
-	h.currentIncarnation, h.sequence = incarnation, 0
-	h.startUnixMillis = max(time.Now().UnixMilli(), h.startUnixMillis+1)
+	return h.sidecar.ApplyAnnouncement(announce.Announcement{
+		ID: a.Incarnation, State: announce.Ready, Slots: a.Slots, StartUnixMillis: incarnationStart, Sequence: h.sequence.Add(1),
+	})
 }
--- a/pkg/standalone/standalone.go
+++ b/pkg/standalone/standalone.go
@@ -39,8 +39,10 @@
 // Unregister does nothing: the addresses come from settings.
 func (Peers) Unregister(context.Context, string) error { return nil }
 
-// RecordDeparture does nothing: without the platform, only the nodes keep departures.
-func (Peers) RecordDeparture(context.Context, roster.Departure) (uint64, error) { return 0, nil }
+// RecordDepartures does nothing: without the platform, only the nodes keep departures.
+func (Peers) RecordDepartures(context.Context, string, []roster.Departure) (uint64, error) {
+	return 0, nil
+}
 
 // Registered returns the addresses from settings.
 func (p Peers) Registered(context.Context) (mesh.Registered, error) {
