Limit the sum of what a node keeps by its memory

Cause: no limit on the sum. HTTP/2 allocated up to 512 KB for each body that was sent and kept up to 1 MB of each body that was not read, both outside the budget for bodies; the budget counted lengths in place of buffers; the garbage collector let the heap grow to twice of what is in use.

A quarter of the memory is for bodies and long headers, counted by their buffers, and a quarter for all else of requests in progress, at 160 KB each. Requests beyond that, and long ones beyond half of it, get 503 with Retry-After at once.

The test of a routing table's limit follows the constant, which is 4 MB in place of 16 MB: no response of the store is longer than that.

--- a/cmd/mtmesh/main.go
+++ b/cmd/mtmesh/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -78,6 +79,9 @@
 	if err != nil {
 		return err
 	}
+	if target := s.HeapTarget(); target > 0 {
+		debug.SetMemoryLimit(target)
+	}
 	if err := node.Provision(); err != nil {
 		deps.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error()})
 		return err
--- a/pkg/bodybuf/ahead.go
+++ b/pkg/bodybuf/ahead.go
@@ -7,11 +7,15 @@
 	"sync"
 )
 
+// maxSpareBlocks is the number of blocks that a body keeps for later ones. They are not counted.
+const maxSpareBlocks = 1
+
 var errClosed = errors.New("body closed")
 
 // block is a part of a body in memory.
 type block struct {
-	bytes []byte
+	// bytes were not yet returned. They are in buffer, or in a slice of their own if that is nil.
+	bytes, buffer []byte
 	// counted is the number of bytes that were taken from the budget.
 	counted int64
 }
@@ -28,6 +32,8 @@
 	blocks []block
 	queued int64
 	closed bool
+	// spare are blocks whose bytes were returned, for later ones.
+	spare [][]byte
 	// err ends the body after the queued blocks.
 	err error
 }
@@ -44,35 +50,65 @@
 
 // fill reads the body until it ends or is closed.
 func (a *ahead) fill() {
-	buffer := make([]byte, blockBytes)
 	for {
-		reserved, ok := a.awaitRoom()
+		b, ok := a.awaitRoom()
 		if !ok {
 			return
 		}
-		n, err := a.body.Read(buffer)
-		counted := min(reserved, int64(n))
-		a.budget.release(reserved - counted)
-		a.add(block{slices.Clone(buffer[:n]), counted}, err)
+		n, err := a.body.Read(b.buffer)
+		b.bytes = b.buffer[:n]
+		a.add(a.shrink(b), err)
 	}
 }
 
-// awaitRoom waits until another block may be read, and returns the number of bytes that it
-// took from the budget for it. The first block is not counted, so that the body makes
-// progress without the budget. The result is false after the end of the body.
-func (a *ahead) awaitRoom() (reserved int64, ok bool) {
+// awaitRoom waits until another block may be read, and returns it. The first block is not
+// counted, so that the body makes progress without the budget. The result is false after the
+// end of the body.
+func (a *ahead) awaitRoom() (b block, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for !a.closed && a.err == nil {
 		if a.queued == 0 {
-			return 0, true
+			return block{buffer: a.takeSpare()}, true
 		}
 		if a.queued < a.limit && a.budget.acquire(blockBytes) {
-			return blockBytes, true
+			return block{buffer: a.takeSpare(), counted: blockBytes}, true
 		}
 		a.cond.Wait()
 	}
-	return 0, false
+	return block{}, false
+}
+
+// shrink copies a block that is mostly empty, and returns its buffer and the bytes that it does
+// not need.
+func (a *ahead) shrink(b block) block {
+	n := len(b.bytes)
+	if n > blockBytes/2 {
+		return b
+	}
+	a.mu.Lock()
+	a.keepSpare(b.buffer)
+	a.mu.Unlock()
+	counted := min(b.counted, int64(n))
+	a.budget.release(b.counted - counted)
+	return block{bytes: slices.Clone(b.bytes), counted: counted}
+}
+
+// keepSpare keeps the buffer of a block for later ones. The caller holds mu.
+func (a *ahead) keepSpare(buffer []byte) {
+	if buffer != nil && len(a.spare) < maxSpareBlocks {
+		a.spare = append(a.spare, buffer)
+	}
+}
+
+// takeSpare returns a buffer for a block. The caller holds mu.
+func (a *ahead) takeSpare() []byte {
+	if n := len(a.spare); n > 0 {
+		buffer := a.spare[n-1]
+		a.spare = a.spare[:n-1]
+		return buffer
+	}
+	return make([]byte, blockBytes)
 }
 
 func (a *ahead) add(b block, err error) {
@@ -107,6 +143,8 @@
 	a.queued -= int64(n)
 	if len(first.bytes) == 0 {
 		a.budget.release(first.counted)
+		a.keepSpare(first.buffer)
+		a.blocks[0] = block{}
 		a.blocks = a.blocks[1:]
 	}
 	a.cond.Broadcast()
--- a/pkg/bodybuf/bodybuf.go
+++ b/pkg/bodybuf/bodybuf.go
@@ -10,9 +10,9 @@
 package bodybuf
 
 import (
-	"bytes"
 	"errors"
 	"io"
+	"net/http"
 	"sync/atomic"
 )
 
@@ -77,29 +77,76 @@
 	}
 }
 
+// fieldBytes is the memory that a header field takes besides its name and value, as HTTP/2 counts it.
+const fieldBytes = 32
+
+// headerBytes returns the memory that a header takes.
+func headerBytes(h http.Header) int64 {
+	n := 0
+	for name, values := range h {
+		n += len(name) + fieldBytes
+		for _, v := range values {
+			n += len(v) + fieldBytes
+		}
+	}
+	return int64(n)
+}
+
+// errNoMemory means that the budget has no room for a header.
+var errNoMemory = errors.New("no memory for the header")
+
+// ReadResponse buffers the beginning of a response's body as Read does, and counts the header until
+// the release. Short headers are not counted, as short bodies. It fails if the budget has no room
+// for the header.
+func (b *Budget) ReadResponse(h http.Header, body io.Reader, limit int64) (*Buffer, error) {
+	size := headerBytes(h)
+	if size <= uncountedBytes {
+		return b.Read(body, limit)
+	}
+	if !b.acquire(size) {
+		return &Buffer{}, errNoMemory
+	}
+	out, err := b.Read(body, limit)
+	if err != nil {
+		b.release(size)
+		return out, err
+	}
+	out.held.Add(size)
+	return out, nil
+}
+
 // Read buffers up to limit bytes of the body, or fewer if the budget is exhausted. If the
 // body breaks off, Read returns the error and the bytes before it; they need no Release.
 func (b *Budget) Read(body io.Reader, limit int64) (*Buffer, error) {
-	out := &Buffer{budget: b}
-	var data bytes.Buffer
-	for n := min(uncountedBytes, limit); n > 0; n = min(blockBytes, limit-int64(data.Len())) {
-		if data.Len() > 0 {
-			if !b.acquire(n) {
-				break
-			}
-			out.held.Add(n)
+	out := &Buffer{budget: b, Bytes: make([]byte, 0, min(uncountedBytes, limit))}
+	for int64(len(out.Bytes)) < limit {
+		if len(out.Bytes) == cap(out.Bytes) && !out.grow(limit) {
+			break
 		}
-		_, err := io.CopyN(&data, body, n)
+		n, err := body.Read(out.Bytes[len(out.Bytes):cap(out.Bytes)])
+		out.Bytes = out.Bytes[:len(out.Bytes)+n]
 		if errors.Is(err, io.EOF) {
 			out.Complete = true
 			break
 		}
 		if err != nil {
 			out.Release()
-			out.Bytes = data.Bytes()
 			return out, err
 		}
 	}
-	out.Bytes = data.Bytes()
 	return out, nil
 }
+
+// grow increases the buffer's capacity, up to limit. It reports whether the limit and the budget
+// allow it. The earlier bytes stay counted until they are copied.
+func (b *Buffer) grow(limit int64) bool {
+	size := min(limit, int64(cap(b.Bytes))+max(blockBytes, int64(cap(b.Bytes))/4))
+	if size <= int64(cap(b.Bytes)) || !b.budget.acquire(size) {
+		return false
+	}
+	larger := make([]byte, len(b.Bytes), size)
+	copy(larger, b.Bytes)
+	b.Bytes = larger
+	b.budget.release(b.held.Swap(size))
+	return true
+}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -62,6 +62,10 @@
 	maxDeclinedIDs = 64
 	// maxHeadBytes limits the status line and the headers of one response.
 	maxHeadBytes = 64 << 10
+	// maxHeadNames and maxHeadFields limit the names and fields of the headers of one response.
+	// Short ones take many times their length in memory.
+	maxHeadNames  = 512
+	maxHeadFields = 8192
 	// maxForeignBodyBytes limits the body of one response to another request.
 	maxForeignBodyBytes = 1 << 20
 )
@@ -295,7 +299,7 @@
 		cn.declinedIDs = append(cn.declinedIDs, req.id())
 	}
 	cn.limit.set(c.maxBody, errBodyTooLong)
-	buffer, err := c.Bodies.Read(resp.Body, bodyBufferBytes)
+	buffer, err := c.Bodies.ReadResponse(resp.Header, resp.Body, bodyBufferBytes)
 	if err != nil {
 		return nil, fmt.Errorf("%w: response body broken off after %d bytes: %w", ErrOutcomeUnknown, len(buffer.Bytes), err)
 	}
@@ -373,6 +377,9 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		if err := checkFields(resp.Header); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		}
 		if req.IDOptional || resp.Header.Get(req.IDHeader) == req.id() {
 			return resp, nil
 		}
--- a/pkg/exchange/limit.go
+++ b/pkg/exchange/limit.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"net/http"
 )
 
 var (
@@ -30,3 +32,15 @@
 	l.left -= int64(n)
 	return n, err
 }
+
+// checkFields returns an error if the header has too many names or fields.
+func checkFields(h http.Header) error {
+	fields := 0
+	for _, values := range h {
+		fields += len(values)
+	}
+	if len(h) > maxHeadNames || fields > maxHeadFields {
+		return fmt.Errorf("%w: %d names and %d fields", errHeadTooLong, len(h), fields)
+	}
+	return nil
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -27,6 +27,9 @@
 	aloneReadyDelay = 1200 * time.Millisecond
 	// headerTimeout is the time limit for reading a request header, except from callers.
 	headerTimeout = 10 * time.Second
+	// maxCallerHeaderBytes bounds the header of a caller's request, for which the configuration
+	// has a lower limit.
+	maxCallerHeaderBytes = 128 << 10
 	// dropReportInterval is how often dropped log lines are reported.
 	dropReportInterval = 5 * time.Second
 )
@@ -56,7 +59,9 @@
 	ingress *relay.Ingress
 	peers   *relay.HTTPPeers
 	// bodies limits the memory for bodies of requests and responses.
-	bodies   *bodybuf.Budget
+	bodies *bodybuf.Budget
+	// requests limits the requests in progress.
+	requests *relay.RequestLimit
 	watcher  *configWatcher
 	history  *storeHistory
 	fetcher  *fetcher
@@ -104,6 +109,8 @@
 	n.sidecar.SetMaxAnnouncementDelay(s.MaxAnnouncementDelay)
 	n.bodies = bodybuf.NewBudget(s.bodyMemory())
 	n.sidecar.SetBodies(n.bodies)
+	n.requests = relay.NewRequestLimit(s.requestMemory())
+	n.sidecar.SetRequestLimit(n.requests)
 	n.dir.sidecar = n.sidecar
 	n.gossip.status, n.gossip.onStatus = n.status, n.handleStatus
 	n.gossip.departure, n.gossip.onDeparture = n.departure, n.handleDeparture
@@ -113,7 +120,7 @@
 	n.peers.SetConfigStallTimeout(timing.scale(configStallTimeout))
 	n.peers.Bodies = n.bodies
 	n.ingress = &relay.Ingress{
-		Names: d.Names, Service: s.Service, Dir: n.dir, Peers: n.peers, Sidecar: n.sidecar, Events: d.Events, Metrics: n.metrics, Bodies: n.bodies,
+		Names: d.Names, Service: s.Service, Dir: n.dir, Peers: n.peers, Sidecar: n.sidecar, Events: d.Events, Metrics: n.metrics, Bodies: n.bodies, Requests: n.requests,
 	}
 	n.ingress.Provision()
 	n.history = newStoreHistory(d.Events)
@@ -146,6 +153,7 @@
 	for name, value := range map[string]func() int64{
 		"requests.active":   n.ingress.Active,
 		"bodies.bytes":      n.bodies.Used,
+		"requests.limited":  n.requests.Active,
 		"members":           func() int64 { return int64(n.dir.len()) },
 		"config.version":    func() int64 { return int64(n.watcher.version()) },
 		"log.dropped":       n.deps.Dropped,
@@ -162,7 +170,7 @@
 func (n *Node) listen() error {
 	s := n.settings
 	n.connections = newCallerConnections(n.ingress.Table)
-	callers := &http.Server{Handler: n.ingress, ConnState: n.connections.trackState, ConnContext: n.connections.connContext}
+	callers := &http.Server{Handler: n.ingress, MaxHeaderBytes: maxCallerHeaderBytes, ConnState: n.connections.trackState, ConnContext: n.connections.connContext}
 	list := []struct {
 		name, address string
 		server        *http.Server
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -53,12 +53,33 @@
 
 const (
 	// bodyMemoryDivisor is the part of the process's memory for bodies of requests and
-	// responses. The garbage collector may let the heap grow to twice of what is in use.
+	// responses.
 	bodyMemoryDivisor = 4
 	// defaultBodyMemory is used if the process's memory is not limited.
 	defaultBodyMemory = 64 << 20
+	// requestMemoryDivisor is the part of the process's memory for what requests in progress take
+	// besides their bodies.
+	requestMemoryDivisor = 4
+	// defaultRequestMemory is used if the process's memory is not limited.
+	defaultRequestMemory = 256 << 20
+	// heapPermille is the part of the process's memory above which the garbage collector runs
+	// more often. Without that, the heap may grow to twice of what is in use. The rest is for
+	// what is not in the heap of Go.
+	heapPermille = 700
 )
 
+// HeapTarget returns the memory in bytes that the garbage collector should stay below, or 0 if
+// the process's memory is not limited.
+func (s Settings) HeapTarget() int64 { return s.MemoryBytes / 1000 * heapPermille }
+
+// requestMemory returns the memory in bytes for what requests in progress take besides bodies.
+func (s Settings) requestMemory() int64 {
+	if s.MemoryBytes == 0 {
+		return defaultRequestMemory
+	}
+	return s.MemoryBytes / requestMemoryDivisor
+}
+
 // bodyMemory returns the memory for bodies of requests and responses in bytes.
 func (s Settings) bodyMemory() int64 {
 	if s.MemoryBytes == 0 {
--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -73,6 +73,8 @@
 	Metrics metrics.Registry
 	// Bodies limits the memory for requests.
 	Bodies *bodybuf.Budget
+	// Requests limits the number of requests in progress.
+	Requests *RequestLimit
 
 	table    atomic.Pointer[route.Table]
 	splitter *route.Splitter
@@ -138,6 +140,11 @@
 		in.reject(w, r, http.StatusServiceUnavailable, "no-configuration", noConfigRetry)
 		return
 	}
+	if !in.Requests.begin() {
+		in.reject(w, r, http.StatusServiceUnavailable, reasonMemory, memoryRetry)
+		return
+	}
+	defer in.Requests.end()
 	if limit := table.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
 		in.reject(w, r, http.StatusRequestHeaderFieldsTooLarge, "header-too-large", 0)
 		return
@@ -149,8 +156,18 @@
 		return
 	}
 	defer in.limitBodyDrain(w, r)
+	long := r.ContentLength > bodyBufferBytes
+	if long && !in.Requests.beginLong() {
+		in.reject(w, r, http.StatusServiceUnavailable, reasonMemory, memoryRetry)
+		return
+	}
 	rs := in.newRequestState(r, table, rt)
 	defer rs.close()
+	defer func() {
+		if long {
+			in.Requests.endLong()
+		}
+	}()
 	if err := in.readRequest(w, r, rs, table.Limits.MaxBodyBytes); err != nil {
 		in.reject(w, r, bodyStatus(err), err.Error(), 0)
 		return
@@ -159,6 +176,12 @@
 		in.reject(w, r, http.StatusServiceUnavailable, "stopping", stoppingRetry)
 		return
 	}
+	if rs.call.Rest != nil && !long {
+		if long = in.Requests.beginLong(); !long {
+			in.reject(w, r, http.StatusServiceUnavailable, reasonMemory, memoryRetry)
+			return
+		}
+	}
 	result := in.forwardUntilAbort(r.Context(), rs)
 	if rs.call.Rest != nil {
 		in.closeBody(w, r)
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -48,14 +48,18 @@
 	// configTimeout bounds the transfer of a routing table that makes progress: 2 MB over the
 	// slowest links of the users' VMs (10 Mbit/s), shared by a few transfers.
 	configTimeout = 3 * time.Second
-	// maxConfigBytes bounds the size of a routing table from another node.
-	maxConfigBytes = 16 << 20
-	// maxPeerHeaderBytes bounds the header of another node's response, which contains that
-	// of an upstream. HTTP/2 counts 32 more bytes for each field.
-	maxPeerHeaderBytes = 1 << 20
-	// peerWindowBytes bounds what another node may send of a response that is not being
-	// read.
-	peerWindowBytes = 256 << 10
+	// maxConfigBytes bounds the size of a routing table from another node. It is that of a
+	// response of the platform's store.
+	maxConfigBytes = 4 << 20
+	// maxPeerHeaderBytes bounds the header of another node's request or response, which contains
+	// that of a caller or upstream. HTTP/2 counts 32 more bytes for each field.
+	maxPeerHeaderBytes = 320 << 10
+	// peerWindowBytes bounds what another node may send of a request or response that is not
+	// being read.
+	peerWindowBytes = 64 << 10
+	// peerFrameBytes is the size of the frames that other nodes may send. A node that sends a
+	// body allocates one frame for it.
+	peerFrameBytes = 16 << 10
 )
 
 // HTTPPeers sends requests to other nodes over cleartext HTTP/2, which can cancel a
@@ -97,7 +101,7 @@
 			MaxResponseHeaderBytes: maxPeerHeaderBytes,
 			Protocols:              protocols,
 			HTTP2: &http.HTTP2Config{
-				SendPingTimeout: peerPingInterval, PingTimeout: peerPingTimeout, MaxReceiveBufferPerStream: peerWindowBytes,
+				SendPingTimeout: peerPingInterval, PingTimeout: peerPingTimeout, MaxReceiveBufferPerStream: peerWindowBytes, MaxReadFrameSize: peerFrameBytes,
 			},
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -113,7 +117,8 @@
 		Handler:           h,
 		Protocols:         protocols,
 		ReadHeaderTimeout: peerDialTimeout * 10,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: 1000},
+		MaxHeaderBytes:    maxPeerHeaderBytes,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: 1000, MaxReceiveBufferPerStream: peerWindowBytes, MaxReadFrameSize: peerFrameBytes},
 	}
 }
 
@@ -136,7 +141,7 @@
 		cancel()
 		return result
 	}
-	buffer, err := p.Bodies.Read(resp.Body, bodyBufferBytes)
+	buffer, err := p.Bodies.ReadResponse(resp.Header, resp.Body, bodyBufferBytes)
 	if err != nil {
 		_ = resp.Body.Close()
 		cancel()
@@ -278,7 +283,7 @@
 		// The response itself is complete: only the state stays unknown.
 		state = roster.Upstream{}
 	}
-	h := resp.Header.Clone()
+	h := resp.Header
 	h.Del(outcomeHeader)
 	h.Del("Content-Length")
 	return &Result{
@@ -318,13 +323,19 @@
 
 // ServePeer runs calls from other nodes.
 func (s *Sidecar) ServePeer(w http.ResponseWriter, r *http.Request) {
+	if !s.requests.begin() {
+		w.Header().Set(outcomeHeader, rejected(reasonMemory, memoryRetry).encodeOutcome())
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	defer s.requests.end()
 	c, err := decodeCall(r, s.client.Bodies)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	defer c.buffer.Release()
-	result := s.Run(r.Context(), c)
+	result := s.runPeerCall(r.Context(), c)
 	h := w.Header()
 	h.Set(outcomeHeader, result.encodeOutcome())
 	if result.Kind != Completed {
@@ -334,6 +345,17 @@
 	writeResponse(w, result)
 }
 
+// runPeerCall runs a call of another node unless its body is long and there are too many of those.
+func (s *Sidecar) runPeerCall(ctx context.Context, c *Call) *Result {
+	if c.Rest != nil {
+		if !s.requests.beginLong() {
+			return rejected(reasonMemory, memoryRetry)
+		}
+		defer s.requests.endLong()
+	}
+	return s.Run(ctx, c)
+}
+
 // Config fetches the encoded routing table that is active at another node.
 func (p *HTTPPeers) Config(ctx context.Context, address string) ([]byte, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -68,6 +68,8 @@
 	// inFlight holds the fingerprints of the requests at the upstream.
 	inFlight map[*gate.Request]uint64
 	suspects *suspect.Table
+	// requests limits the calls of other nodes in progress.
+	requests *RequestLimit
 }
 
 // NewSidecar returns the sidecar of the upstream at the address. loadChanged is called
@@ -83,6 +85,10 @@
 // SetBodies limits the memory for bodies. It must be called before the first call.
 func (s *Sidecar) SetBodies(b *bodybuf.Budget) { s.client.Bodies = b }
 
+// SetRequestLimit limits the calls of other nodes in progress. It must be called before the first
+// call.
+func (s *Sidecar) SetRequestLimit(l *RequestLimit) { s.requests = l }
+
 // SetConfirmDeparture sets the function that ConfirmDeparture calls. It must be called before
 // the first announcement.
 func (s *Sidecar) SetConfirmDeparture(confirm func(context.Context) error) {
