Test late announcements without the platform

mtmesh standalone took the last new incarnation for the current one, and a late "ready" ended a drain. Its first part is not seen to fail: the upstream of the test does not check the id that requests name.

--- a/pkg/standalone/standalone_test.go
+++ b/pkg/standalone/standalone_test.go
@@ -155,3 +155,21 @@
 		}
 	}
 }
+
+// Guards against one late announcement of an unknown incarnation that keeps the one that lives out of
+// use for good, and against a late "ready" that ends a drain.
+func TestLateAnnouncementsOfIncarnations(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "routes.yaml")
+	writeFile(t, path, fmt.Sprintf(routesFile, 1, "a"))
+	n := startNode(t, "a", path)
+	served := func() bool { status, _ := n.request(); return status == http.StatusOK }
+	await.Eventually(t, "the upstream is used", func() bool { return n.announce(t, "live", "ready") == http.StatusOK && served() })
+	n.announce(t, "late", "ready")
+	await.Eventually(t, "the upstream that goes on is in use", func() bool { return n.announce(t, "live", "ready") == http.StatusOK && served() })
+	if status := n.announce(t, "live", "draining"); status != http.StatusOK {
+		t.Fatalf("drain: status %d", status)
+	}
+	if status := n.announce(t, "live", "ready"); status != http.StatusServiceUnavailable {
+		t.Errorf("late announcement after the drain: status %d, want 503", status)
+	}
+}
