Give each test process its own loopback address

Its port was free for as long as the node was down, and await.FreeAddress of another test process may return a port that is free at that moment; which one took it is not known. Test processes now have addresses of their own in 127.0.0.0/8. The check itself is as it was.

--- a/internal/await/await.go
+++ b/internal/await/await.go
@@ -4,6 +4,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"testing"
@@ -39,12 +40,19 @@
 // returned holds the addresses that FreeAddress has returned.
 var returned sync.Map
 
+// host is a loopback address of this test process. Tests of other packages run at the same time
+// and would otherwise take a port while its node restarts.
+var host = net.IPv4(127, byte(1+os.Getpid()/hostsPerByte%hostsPerByte), byte(1+os.Getpid()%hostsPerByte), 1).String()
+
+// hostsPerByte is the number of values of one byte in host.
+const hostsPerByte = 250
+
 // FreeAddress returns a loopback address that is not in use over TCP or UDP. It returns no
-// address twice. The port is random because packages are tested concurrently.
+// address twice.
 func FreeAddress(t *testing.T) string {
 	t.Helper()
 	for range lastPort - firstPort {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		address := net.JoinHostPort(host, strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
 		if _, used := returned.LoadOrStore(address, true); !used && isFree(address) {
 			return address
 		}
