Leave standstills of the process out of the delay of messages

An upstream that has left would be used again if the node's process stood still for more than 8 s after the departure and a late heartbeat of an earlier start under its id waited in the socket meanwhile: by the steady clock, the heartbeat comes more than 8 s after the departure, which counts as sent after it. The time of messages now leaves out gaps of more than 1 s between two ticks of the process. The new test fails without that (the upstream is in use) and passes with it. Health checks that make an upstream known or usable are logged as any other message is, and the last departure is that of the last message.

--- a/pkg/announce/tracker.go
+++ b/pkg/announce/tracker.go
@@ -39,8 +39,8 @@
 )
 
 // Tracker derives which upstream is at an address and whether it may be used. It is not safe
-// for concurrent use. Its clock is the time since the process began, so that it can't be put
-// back.
+// for concurrent use. Its clock is the time since the process began, without the time for which
+// the process stood still: messages that arrived meanwhile are not that late.
 //
 // At most one start is alive at a time, and a message arrives at most MaxDelay after it was
 // sent. So a start that announces itself more than MaxDelay after the first message of another
@@ -183,9 +183,10 @@
 }
 
 // ObserveHealth processes a health check in which the upstream has named its id and stated that
-// it is healthy and not leaving. It reports whether this has made the upstream known. Health
-// checks don't name the service, so they don't replace an upstream that has announced itself.
-func (t *Tracker) ObserveHealth(id string, slots int, now time.Duration) bool {
+// it is healthy and not leaving. Health checks don't name the service, so they don't replace an
+// upstream that has announced itself.
+func (t *Tracker) ObserveHealth(id string, slots int, now time.Duration) Verdict {
+	before := t.Current()
 	known := slices.ContainsFunc(t.starts, func(s *start) bool { return s.id() == id || !s.recordedOnly() })
 	for _, s := range t.starts {
 		s.healthy = s.healthy || s.id() == id
@@ -194,18 +195,23 @@
 		t.add(nil, &start{latest: Announcement{ID: id, State: Ready, Slots: slots}, firstSequence: -1, first: now, last: now, healthy: true})
 	}
 	t.choose()
-	return !known
+	return verdict(before, t.Current())
 }
 
 // Departures returns the starts that have left and that no later start with the same id has
 // followed, the last one at the end.
 func (t *Tracker) Departures() []Departure {
-	var list []Departure
+	var left []*start
 	for _, s := range t.starts {
 		if s.leaves() && !t.superseded(s, sameID) {
-			list = append(list, Departure{s.id(), cmp.Or(s.latest.StartUnixMillis, UnidentifiedStart)})
+			left = append(left, s)
 		}
 	}
+	slices.SortStableFunc(left, func(a, b *start) int { return cmp.Compare(a.last, b.last) })
+	var list []Departure
+	for _, s := range left {
+		list = append(list, Departure{s.id(), cmp.Or(s.latest.StartUnixMillis, UnidentifiedStart)})
+	}
 	return list
 }
 
--- a/pkg/relay/probe.go
+++ b/pkg/relay/probe.go
@@ -15,21 +15,10 @@
 // Adopt applies a health check that the upstream has passed. It sets the upstream's id and slots
 // for a node that starts beside a running upstream. Announcements take precedence.
 func (s *Sidecar) Adopt(id string, load UpstreamLoad) {
-	s.mu.Lock()
-	before, adopted := s.usable(), false
 	if announce.ValidateID(id) == nil && load.Slots > 0 {
-		adopted = s.tracker.ObserveHealth(id, load.Slots, s.now())
-		s.applyState()
+		s.apply("health", func(t *announce.Tracker) announce.Verdict { return t.ObserveHealth(id, load.Slots, s.messageTime()) })
 	}
-	changed := s.usable() != before
-	s.mu.Unlock()
 	s.RecordLoad(load)
-	if adopted {
-		s.events.Emit(event.UpstreamReady, event.Fields{"upstream": id, "slots": load.Slots, "source": "health"})
-	}
-	if adopted || changed {
-		s.stateChanged()
-	}
 }
 
 // SlowdownAge returns the time since the upstream last reported its slowdown, or 0 if it
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -226,6 +226,8 @@
 func (s *Sidecar) Tick() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.messageTime()
+	s.lastTick = s.now()
 	if len(s.waiting) > 0 {
 		s.deliver(s.gate.Advance(s.now()))
 	}
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -25,6 +25,9 @@
 	// stallThreshold is the time without a tick after which a stall of the process is
 	// logged.
 	stallThreshold = 60 * time.Millisecond
+	// standstillThreshold is the time without a tick after which the time does not count for the
+	// delay of messages. On busy VMs a process waits for some 100 ms now and then.
+	standstillThreshold = time.Second
 	// minLoadChange is the change of the number of requests above which the load is
 	// reported to other nodes.
 	minLoadChange = 1
@@ -70,6 +73,9 @@
 	suspects *suspect.Table
 	// requests limits the calls of other nodes in progress.
 	requests *RequestLimit
+	// lastTick is the time of the last tick, or zero. standstill is the time for which the process
+	// did not run.
+	lastTick, standstill time.Duration
 }
 
 // NewSidecar returns the sidecar of the upstream at the address. loadChanged is called
@@ -110,11 +116,22 @@
 // first announcement. Without it, announce.DefaultMaxDelay applies.
 func (s *Sidecar) SetMaxAnnouncementDelay(d time.Duration) { s.tracker.MaxDelay = d }
 
+// messageTime returns the time since the start without the time for which the process did not run,
+// in which messages wait in its sockets. The lock must be held.
+func (s *Sidecar) messageTime() time.Duration {
+	now := s.now()
+	if gap := now - s.lastTick; s.lastTick > 0 && gap > standstillThreshold {
+		s.standstill += gap
+		s.lastTick = now
+	}
+	return now - s.standstill
+}
+
 // ApplyAnnouncement applies an announcement of the upstream. It is in effect when
 // ApplyAnnouncement returns, unless the verdict is announce.Refused.
 func (s *Sidecar) ApplyAnnouncement(a announce.Announcement) announce.Verdict {
 	return s.apply("announcement", func(t *announce.Tracker) announce.Verdict {
-		verdict := t.Observe(a, s.now())
+		verdict := t.Observe(a, s.messageTime())
 		if a.State == announce.Ready && verdict != announce.Refused {
 			s.down = false
 		}
@@ -125,7 +142,7 @@
 // ApplyStop applies the message in which the upstream reports that it is about to stop. The
 // start time is zero if the message does not contain it.
 func (s *Sidecar) ApplyStop(id string, startUnixMillis int64) announce.Verdict {
-	return s.apply("stop", func(t *announce.Tracker) announce.Verdict { return t.ObserveStop(id, startUnixMillis, s.now()) })
+	return s.apply("stop", func(t *announce.Tracker) announce.Verdict { return t.ObserveStop(id, startUnixMillis, s.messageTime()) })
 }
 
 // ApplyDeparture applies a departure that an earlier process of the node has recorded.
--- a/pkg/relay/sidecar_test.go
+++ b/pkg/relay/sidecar_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/mulberrytray/mulberrytray/internal/await"
+	"github.com/mulberrytray/mulberrytray/pkg/announce"
+	"github.com/mulberrytray/mulberrytray/pkg/event"
 )
 
 // A node that starts beside a busy upstream counts the requests that an earlier process
@@ -87,3 +89,30 @@
 		t.Errorf("%d requests at the upstream, want 1", n)
 	}
 }
+
+// Guards against a message that waited in its socket while the process stood still and that is taken
+// for one that was sent after the departure.
+func TestStandstillDoesNotAgeMessages(t *testing.T) {
+	const slots = 4
+	for _, running := range []bool{false, true} {
+		s := NewSidecar(testNames, "svc", "127.0.0.1:1", event.Discard(), func() {}, func() {})
+		s.SetMaxAnnouncementDelay(time.Second)
+		ready := func(start, sequence int64) announce.Announcement {
+			return announce.Announcement{ID: "u1", State: announce.Ready, Slots: slots, StartUnixMillis: start, Sequence: sequence}
+		}
+		s.start = time.Now().Add(-time.Minute)
+		s.Tick()
+		s.ApplyAnnouncement(ready(2, 1))
+		s.ApplyStop("u1", 2)
+		for range 6 {
+			s.start = s.start.Add(-500 * time.Millisecond)
+			if running {
+				s.Tick()
+			}
+		}
+		s.ApplyAnnouncement(ready(1, 9))
+		if used := s.UpstreamState().Accepting; used != running {
+			t.Errorf("process running %t: upstream in use %t", running, used)
+		}
+	}
+}
