Keep the place of a long request in its state

Whether a request counts as a long one was a variable of the handler that three places changed. It is part of the request's state now, which gives the place back when the request ends. No change of behaviour; the tests of limits and bodies in pkg/relay passed with the race detector.

--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -156,18 +156,12 @@
 		return
 	}
 	defer in.limitBodyDrain(w, r)
-	long := r.ContentLength > bodyBufferBytes
-	if long && !in.Requests.beginLong() {
+	rs := in.newRequestState(r, table, rt)
+	defer rs.close()
+	if r.ContentLength > bodyBufferBytes && !rs.beginLong(in.Requests) {
 		in.reject(w, r, http.StatusServiceUnavailable, reasonMemory, memoryRetry)
 		return
 	}
-	rs := in.newRequestState(r, table, rt)
-	defer rs.close()
-	defer func() {
-		if long {
-			in.Requests.endLong()
-		}
-	}()
 	if err := in.readRequest(w, r, rs, table.Limits.MaxBodyBytes); err != nil {
 		in.reject(w, r, bodyStatus(err), err.Error(), 0)
 		return
@@ -176,11 +170,9 @@
 		in.reject(w, r, http.StatusServiceUnavailable, "stopping", stoppingRetry)
 		return
 	}
-	if rs.call.Rest != nil && !long {
-		if long = in.Requests.beginLong(); !long {
-			in.reject(w, r, http.StatusServiceUnavailable, reasonMemory, memoryRetry)
-			return
-		}
+	if rs.call.Rest != nil && !rs.beginLong(in.Requests) {
+		in.reject(w, r, http.StatusServiceUnavailable, reasonMemory, memoryRetry)
+		return
 	}
 	result := in.forwardUntilAbort(r.Context(), rs)
 	if rs.call.Rest != nil {
--- a/pkg/relay/requeststate.go
+++ b/pkg/relay/requeststate.go
@@ -27,6 +27,9 @@
 	mayHaveRun bool
 	// errorResponse is the last error response of an upstream before a retry, or nil.
 	errorResponse *Result
+	// long is set once the request counts as a long one, which longLimit limits.
+	long      bool
+	longLimit *RequestLimit
 }
 
 // newRequestState returns the state of a request, without the body. The time limit is
@@ -65,6 +68,15 @@
 	return e.requestAge(timeout)
 }
 
+// beginLong counts the request as a long one, unless it is counted already. It reports whether the
+// limit allows that.
+func (rs *requestState) beginLong(l *RequestLimit) bool {
+	if !rs.long && l.beginLong() {
+		rs.long, rs.longLimit = true, l
+	}
+	return rs.long
+}
+
 // setErrorResponse replaces the last error response.
 func (rs *requestState) setErrorResponse(r *Result) {
 	if rs.errorResponse != nil {
@@ -73,8 +85,12 @@
 	rs.errorResponse = r
 }
 
-// close releases the buffers of the request and of its last error response.
+// close releases the buffers of the request and of its last error response, and its place among the
+// long requests.
 func (rs *requestState) close() {
+	if rs.long {
+		rs.longLimit.endLong()
+	}
 	rs.call.buffer.Release()
 	if rs.errorResponse != nil {
 		rs.errorResponse.close()
