review: a lifted limit makes nodes refuse a whole configuration (case 6)

Cause: a tenant with a burst and no rate is taken for an error, and one such tenant makes all nodes refuse the version, although the pages say that 0 or omitted means no limit.

--- /dev/null
+++ b/review/harness-2/cases.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// configApply is config_apply_ms of the settings.
+const configApply = 2500 * time.Millisecond
+
+// machinesWith adds n machines in two zones and starts them with the configuration.
+func (f *fleet) machinesWith(n int, config map[string]any) error {
+	if _, err := f.publish(config); err != nil {
+		return err
+	}
+	for i := range n {
+		if _, err := f.addMachine(fmt.Sprint("m", i), service, fmt.Sprint("z", i%2)); err != nil {
+			return err
+		}
+	}
+	return f.startAll()
+}
+
+// runs returns the executions at all instances.
+func (f *fleet) runs() []execution {
+	var all []execution
+	for _, m := range f.machines {
+		all = append(all, m.instance.ran()...)
+	}
+	return all
+}
+
+// liftedLimit publishes a version that lifts the limit of one tenant, takes away a key of another one and adds
+// a route. With trouble, the limit is lifted by leaving out rate_per_s only; otherwise burst is left out as well.
+func liftedLimit(f *fleet, trouble bool) (bool, error) {
+	const oldKey, newKey = "key-old", "key-new"
+	tenants := func(first map[string]any, keys ...string) []map[string]any {
+		return []map[string]any{first, {"name": "small", "api_keys": keys, "rate_per_s": 50, "burst": 50}}
+	}
+	rules := []map[string]any{rule("r-order", "unsafe", "/order/", service, false)}
+	limited := map[string]any{"name": "big", "api_keys": []string{"key-big"}, "rate_per_s": 50, "burst": 50}
+	if err := f.machinesWith(3, configuration(3, tenants(limited, oldKey, newKey), rules...)); err != nil {
+		return false, err
+	}
+	for _, m := range f.machines {
+		if a := m.request("POST", "/order/1", oldKey); a.status != http.StatusOK {
+			return false, fmt.Errorf("%w: status %d before the change", errSetup, a.status)
+		}
+	}
+	lifted := map[string]any{"name": "big", "api_keys": []string{"key-big"}, "burst": 50}
+	if !trouble {
+		delete(lifted, "burst")
+	}
+	rules = append(rules, rule("r-new", "safe", "/new/", service, false))
+	acked, err := f.publish(configuration(7, tenants(lifted, newKey), rules...))
+	if err != nil {
+		return false, err
+	}
+	// All machines are in touch: nothing else happens.
+	time.Sleep(2 * configApply)
+	dropped, missing := map[string]bool{}, 0
+	for range 10 {
+		for _, m := range f.machines {
+			a := m.request("POST", "/order/1", oldKey)
+			dropped[a.id] = true
+			if b := m.request("GET", "/new/1", newKey); b.status == http.StatusNotFound {
+				missing++
+			}
+		}
+	}
+	ran := 0
+	for _, e := range f.runs() {
+		if dropped[e.id] {
+			ran++
+		}
+	}
+	f.note("sent later than %v after the acknowledgement at %v: %d of 30 orders with a key that was taken away ran; %d of 30 requests on the new route got 404", 2*configApply, acked.Sub(f.start), ran, missing)
+	return ran+missing > 0, nil
+}
+
+// lastTenant removes the only tenant.
+func lastTenant(f *fleet, trouble bool) (bool, error) {
+	rules := []map[string]any{rule("r-read", "safe", "/read/", service, false)}
+	if err := f.machinesWith(3, configuration(3, []map[string]any{{"name": "t", "api_keys": []string{"k"}}}, rules...)); err != nil {
+		return false, err
+	}
+	next := []map[string]any{}
+	if !trouble {
+		next = []map[string]any{{"name": "t", "api_keys": []string{}}}
+	}
+	if _, err := f.publish(configuration(7, next, rules...)); err != nil {
+		return false, err
+	}
+	time.Sleep(6 * time.Second)
+	changed := time.Now()
+	for _, m := range f.machines {
+		m.request("GET", "/read/1", "k")
+	}
+	broken := 0
+	for _, e := range f.runs() {
+		if e.at.After(changed) {
+			broken++
+		}
+	}
+	return broken > 0, nil
+}
--- /dev/null
+++ b/review/harness-2/instance.go
@@ -0,0 +1,241 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Names of headers of the platform.
+const (
+	idHeader       = "X-Mulberrytray-Attempt-Id"
+	deadlineHeader = "X-Mulberrytray-Deadline-Ms"
+	sealHeader     = "X-Mulberrytray-Response-Seal"
+	expectHeader   = "X-Mulberrytray-Expect-Instance"
+	loadHeader     = "X-Mulberrytray-Instance-Load"
+	notRunHeader   = "X-Mulberrytray-Not-Executed"
+	instanceHeader = "X-Mulberrytray-Instance-Id"
+	tenantHeader   = "X-Mulberrytray-Tenant"
+)
+
+const (
+	slots = 12
+	// beatInterval is that of the settings.
+	beatInterval = 1500 * time.Millisecond
+)
+
+// execution is a request that an instance has run.
+type execution struct {
+	id, instance, path, tenant, authorization string
+	at                                        time.Time
+}
+
+// instance is a sound instance that follows the platform's pages.
+type instance struct {
+	f                                         *fleet
+	name, id, service, zone, address, control string
+	born                                      int64
+	work                                      time.Duration
+	server                                    *http.Server
+	running                                   atomic.Int64
+	stop                                      chan struct{}
+
+	mu sync.Mutex
+	// sequence is that of the last heartbeat. silent is set once the instance sends no more of them,
+	// and leaving once it is not healthy any more.
+	sequence        int64
+	silent, leaving bool
+	// down is set while the instance is away after a crash. starts counts its starts.
+	down       bool
+	starts     int
+	executions []execution
+	// poison is the path of requests that crash the instance, and crashes when that happened.
+	poison  string
+	crashes []time.Time
+}
+
+func newInstance(f *fleet, id, service, zone, address, control string) *instance {
+	return &instance{
+		f: f, name: id, id: id, service: service, zone: zone, address: address, control: control, born: time.Now().UnixMilli(), work: 20 * time.Millisecond, stop: make(chan struct{}),
+	}
+}
+
+func (i *instance) listen() error {
+	l, err := net.Listen("tcp", i.address)
+	if err != nil {
+		return err
+	}
+	i.server = &http.Server{Handler: i}
+	go func() { _ = i.server.Serve(l) }()
+	return nil
+}
+
+func (i *instance) close() {
+	select {
+	case <-i.stop:
+	default:
+		close(i.stop)
+	}
+	if i.server != nil {
+		_ = i.server.Close()
+	}
+}
+
+// ServeHTTP runs a request or answers a health check.
+func (i *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(loadHeader, fmt.Sprintf("%d,0,%d,100", i.running.Load(), slots))
+	if r.URL.Path == "/healthz" {
+		w.Header().Set(instanceHeader, i.id)
+		i.mu.Lock()
+		leaving := i.leaving
+		i.mu.Unlock()
+		if leaving {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	id := r.Header.Get(idHeader)
+	w.Header().Set(idHeader, id)
+	if want := r.Header.Get(expectHeader); want != "" && want != i.id {
+		w.Header().Set(notRunHeader, "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if i.running.Add(1) > slots {
+		i.running.Add(-1)
+		w.Header().Set(notRunHeader, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer i.running.Add(-1)
+	e := execution{id, i.id, r.URL.Path, r.Header.Get(tenantHeader), r.Header.Get("Authorization"), time.Now()}
+	i.mu.Lock()
+	i.executions = append(i.executions, e)
+	i.mu.Unlock()
+	i.f.note("instance %s runs %s %s, tenant %q, key %q", i.id, id, r.URL.Path, e.tenant, e.authorization)
+	if i.poison != "" && r.URL.Path == i.poison {
+		go i.crash()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	time.Sleep(i.work)
+	w.Header().Set(sealHeader, "seal-of-"+i.id)
+	_, _ = io.WriteString(w, "answer to "+id)
+}
+
+// crashTime is how long an instance is away after a crash.
+const crashTime = 2 * time.Second
+
+// crash ends all connections of the instance. It is back after crashTime as a new incarnation.
+func (i *instance) crash() {
+	i.mu.Lock()
+	if i.down {
+		i.mu.Unlock()
+		return
+	}
+	i.down = true
+	i.crashes = append(i.crashes, time.Now())
+	i.mu.Unlock()
+	i.f.note("instance %s crashes", i.id)
+	_ = i.server.Close()
+	if !i.pause(crashTime) {
+		return
+	}
+	i.mu.Lock()
+	i.starts++
+	i.id = fmt.Sprintf("%s.%d", i.name, i.starts)
+	i.sequence, i.born, i.down = 0, time.Now().UnixMilli(), false
+	i.mu.Unlock()
+	if err := i.listen(); err != nil {
+		i.f.note("instance %s does not start again: %v", i.id, err)
+		return
+	}
+	i.f.note("instance %s starts", i.id)
+	i.heartbeat()
+}
+
+// ran returns the requests that have run so far.
+func (i *instance) ran() []execution {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return append([]execution(nil), i.executions...)
+}
+
+// beat sends heartbeats until the instance ends or is silent.
+func (i *instance) beat() {
+	// The first one is sent again at once until the node listens.
+	for !i.heartbeat() && !i.isSilent() {
+		if !i.pause(100 * time.Millisecond) {
+			return
+		}
+	}
+	for i.pause(beatInterval) && !i.isSilent() {
+		i.mu.Lock()
+		down := i.down
+		i.mu.Unlock()
+		if !down {
+			i.heartbeat()
+		}
+	}
+}
+
+func (i *instance) isSilent() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.silent
+}
+
+// pause waits for d. It reports false if the instance has ended.
+func (i *instance) pause(d time.Duration) bool {
+	select {
+	case <-i.stop:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// heartbeat sends a heartbeat with the next sequence number.
+func (i *instance) heartbeat() bool {
+	i.mu.Lock()
+	i.sequence++
+	sequence := i.sequence
+	i.mu.Unlock()
+	return i.sendHeartbeat(sequence)
+}
+
+// sendHeartbeat reports whether the heartbeat with the sequence number was acknowledged.
+func (i *instance) sendHeartbeat(sequence int64) bool {
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold_left_ms":0,"sequence":%d,"born":%d}`,
+		i.service, i.address, i.zone, slots, sequence, i.born)
+	return i.send("instances.heartbeat", body)
+}
+
+// deregister reports that the instance leaves, and whether that was acknowledged. The instance sends
+// no more heartbeats and is not healthy any more.
+func (i *instance) deregister() bool {
+	i.mu.Lock()
+	i.silent, i.leaving = true, true
+	i.mu.Unlock()
+	return i.send("instances.deregister", fmt.Sprintf(`{"born":%d}`, i.born))
+}
+
+func (i *instance) send(call, body string) bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Post("http://"+i.control+"/rpc?call="+call+"&of="+i.id, "application/json", bytes.NewBufferString(body))
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	i.f.note("%s of %s %s: %d", call, i.id, body, resp.StatusCode)
+	return resp.StatusCode/100 == 2
+}
