--- a/review/harness-2/instance.go
+++ b/review/harness-2/instance.go
@@ -47,10 +47,8 @@
 	stop                                      chan struct{}
 
 	mu sync.Mutex
-	// sequence is that of the last heartbeat. silent is set once the instance sends no more of them,
-	// and leaving once it is not healthy any more.
-	sequence        int64
-	silent, leaving bool
+	// sequence is that of the last heartbeat.
+	sequence int64
 	// coldUntil is the end of the cold time, or zero.
 	coldUntil time.Time
 	// coldLimit is the number of requests in one second beyond which a cold instance crashes, or 0.
@@ -96,15 +94,9 @@
 	w.Header().Set(loadHeader, fmt.Sprintf("%d,0,%d,100", i.running.Load(), slots))
 	if r.URL.Path == "/healthz" {
 		w.Header().Set(instanceHeader, i.id)
-		i.mu.Lock()
-		leaving := i.leaving
-		i.mu.Unlock()
 		if left := i.coldLeft(); left > 0 {
 			w.Header().Set(coldHeader, fmt.Sprint(left.Milliseconds()))
 		}
-		if leaving {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
 		return
 	}
 	id := r.Header.Get(idHeader)
@@ -214,15 +206,15 @@
 	return append([]execution(nil), i.executions...)
 }
 
-// beat sends heartbeats until the instance ends or is silent.
+// beat sends heartbeats until the instance ends.
 func (i *instance) beat() {
 	// The first one is sent again at once until the node listens.
-	for !i.heartbeat() && !i.isSilent() {
+	for !i.heartbeat() {
 		if !i.pause(100 * time.Millisecond) {
 			return
 		}
 	}
-	for i.pause(beatInterval) && !i.isSilent() {
+	for i.pause(beatInterval) {
 		i.mu.Lock()
 		down := i.down
 		i.mu.Unlock()
@@ -232,12 +224,6 @@
 	}
 }
 
-func (i *instance) isSilent() bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.silent
-}
-
 // pause waits for d. It reports false if the instance has ended.
 func (i *instance) pause(d time.Duration) bool {
 	select {
@@ -264,15 +250,6 @@
 	return i.send("instances.heartbeat", body)
 }
 
-// deregister reports that the instance leaves, and whether that was acknowledged. The instance sends
-// no more heartbeats and is not healthy any more.
-func (i *instance) deregister() bool {
-	i.mu.Lock()
-	i.silent, i.leaving = true, true
-	i.mu.Unlock()
-	return i.send("instances.deregister", fmt.Sprintf(`{"born":%d}`, i.born))
-}
-
 func (i *instance) send(call, body string) bool {
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Post("http://"+i.control+"/rpc?call="+call+"&of="+i.id, "application/json", bytes.NewBufferString(body))
