review: case 6 loses all nodes without the disruption too

Cause: TROUBLE=0 left out the loss of all nodes, so the outage had no control. Change: the script kills and starts all nodes in both.

--- a/review/harness-2/cases.go
+++ b/review/harness-2/cases.go
@@ -75,10 +75,8 @@
 			ran++
 		}
 	}
-	if trouble {
-		if err := f.restartAll(newKey); err != nil {
-			return false, err
-		}
+	if err := f.restartAll(newKey); err != nil {
+		return false, err
 	}
 	f.note("sent later than %v after the acknowledgement at %v: %d of 30 orders with a key that was taken away ran; %d of 30 requests on the new route got 404", 2*configApply, acked.Sub(f.start), ran, missing)
 	return ran+missing > 0, nil
