--- a/review/harness-2/poison.go
+++ b/review/harness-2/poison.go
@@ -12,7 +12,7 @@
 // poison lets a request come again and again that crashes each instance which begins to run it, while the
 // nodes are stopped and started in turn.
 func poison(f *fleet, trouble bool) (bool, error) {
-	const path, n, rounds = "/read/poison", 6, 2
+	const path, n, rounds = "/read/poison", 6, 3
 	rules := []map[string]any{rule("r-read", "safe", "/read/", service, false), rule("r-order", "unsafe", "/order/", service, false)}
 	if err := f.machinesWith(n, configuration(3, nil, rules...)); err != nil {
 		return false, err
@@ -38,7 +38,7 @@
 			}
 		}()
 	}
-	every(500*time.Millisecond, func(m *machine) { m.request("GET", path, "") })
+	every(250*time.Millisecond, func(m *machine) { m.request("GET", path, "") })
 	var orders atomic.Int64
 	var mu sync.Mutex
 	var unknown []answer
@@ -70,7 +70,7 @@
 					return false, err
 				}
 			}
-			time.Sleep(2 * time.Second)
+			time.Sleep(time.Second)
 		}
 		time.Sleep(4 * time.Second)
 	}
