relay: let the first request choose first in the test of a panic ahead

TestPanicOfStartedRequestClosesItsConnection failed in 10 of 300 runs with "response 0: unexpected EOF". Its directory panics at the second choice, and both requests were sent in one write, so the request that was started ahead could choose before the one whose turn it was, which then panicked instead.

The second request is now sent after the first one has chosen. What is checked is the same. 300 of 300 runs pass with the race detector.

--- a/pkg/relay/ahead_test.go
+++ b/pkg/relay/ahead_test.go
@@ -364,7 +364,10 @@
 	p.Dir = d
 	for _, leaves := range []bool{true, false} {
 		d.choices.Store(0)
-		conn := p.send(t, repeat("/safe/", 2)...)
+		conn := p.send(t, "/safe/")
+		// The directory panics for the second choice, which must be that of the request that starts ahead.
+		await.Eventually(t, "the first request has begun", func() bool { return d.choices.Load() == 1 })
+		writeRaw(conn, "GET /safe/ HTTP/1.1\r\nHost: h\r\nAuthorization: Token k\r\nX-Timeout-Ms: 60000\r\nX-Request-Id: 1\r\n\r\n")
 		await.Eventually(t, "both requests have begun", func() bool { return d.choices.Load() == 2 })
 		if leaves {
 			_ = conn.Close()
