mesh: draw from a seeded source in the test of down members

TestDownMembersStillGetStatuses failed in 10 of 3000 runs with "status sent in 8 of 1200 rounds, want about 20": each round sends with a chance of 1 in 60 from an unseeded source, and fewer than 10 of 1200 come about once in 200 runs.

The gossip now holds the source, and the test seeds it.

--- a/pkg/mesh/gossip.go
+++ b/pkg/mesh/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -85,6 +86,8 @@
 	// lastSilentRound is when statuses were last sent to silent members. It is guarded by
 	// the directory's lock.
 	lastSilentRound time.Duration
+	// intN returns a random number below its argument, for chooseSilent.
+	intN func(int) int
 }
 
 func newGossip(dir *directory, conn *net.UDPConn, events *event.Logger) *gossip {
@@ -93,7 +96,7 @@
 		removed: make(chan string, unregisterQueueSize), incarnation: time.Now().UnixMilli(),
 		departure: func() (roster.Departure, bool) { return roster.Departure{}, false }, onDeparture: func(roster.Departure) {},
 		onReadReport: func(readReport) {}, onEvacuated: func(roster.Status) {}, onQuota: func(*quota.Message) {}, onContact: func(string) {},
-		invalid: event.Limiter{Interval: invalidLogInterval},
+		invalid: event.Limiter{Interval: invalidLogInterval}, intN: rand.IntN,
 	}
 }
 
@@ -302,7 +305,7 @@
 	for _, address := range expired {
 		g.removeMember(address)
 	}
-	return append(list, chooseSilent(silent)...)
+	return append(list, chooseSilent(silent, g.intN)...)
 }
 
 // removeMember removes a member from the roster. The caller holds the directory's lock.
--- a/pkg/mesh/silent.go
+++ b/pkg/mesh/silent.go
@@ -42,10 +42,12 @@
 //
 // Load pattern: a failure domain or a region becomes unreachable and returns after seconds
 // or after an hour, and nodes are permanently replaced every day.
-func chooseSilent(members []silentMember) []target {
+//
+// intN returns a random number below its argument.
+func chooseSilent(members []silentMember, intN func(int) int) []target {
 	var list []target
 	for _, m := range members {
-		if m.silence <= downAfter || rand.IntN(downSendRounds) == 0 {
+		if m.silence <= downAfter || intN(downSendRounds) == 0 {
 			list = append(list, m.target)
 		}
 	}
--- a/pkg/mesh/silent_test.go
+++ b/pkg/mesh/silent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -41,6 +42,7 @@
 // within minutes. Until then, they send each other statuses at a low rate.
 func TestDownMembersStillGetStatuses(t *testing.T) {
 	g := gossipAfterSilence(time.Hour, "127.0.0.1:2")
+	g.intN = rand.New(rand.NewPCG(1, 2)).IntN
 	const rounds = 1200
 	if n := countSendRounds(g, rounds, "127.0.0.1:2"); n < rounds/downSendRounds/2 || n > rounds/downSendRounds*2 {
 		t.Errorf("status sent in %d of %d rounds, want about %d", n, rounds, rounds/downSendRounds)
