--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -104,6 +104,12 @@
 		wg.Go(func() { attend(ctx, address, send) })
 	}
 	wg.Wait()
+	checkAfterCrowd(t, alpha, beta)
+}
+
+// checkAfterCrowd checks that both processes live within their limits and serve ordinary requests.
+func checkAfterCrowd(t *testing.T, alpha, beta *node) {
+	t.Helper()
 	for _, n := range []*node{alpha, beta} {
 		n.check(t)
 	}
--- a/internal/crowd/fleet_test.go
+++ b/internal/crowd/fleet_test.go
@@ -14,10 +14,12 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/mulberrytray/mulberrytray/internal/await"
+	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/platform"
 	"github.com/mulberrytray/mulberrytray/platform/standin"
 )
@@ -55,6 +57,7 @@
 // node is a process of mtmesh beside an upstream of the service.
 type node struct {
 	service                                string
+	maxDescriptors                         int
 	callers, ready, announce, peer, metric string
 	process                                *exec.Cmd
 	exited                                 chan struct{}
@@ -65,11 +68,18 @@
 
 // startFleet starts a node for each service, and waits until each serves requests for the other.
 func startFleet(t *testing.T) (alpha, beta *node) {
+	t.Helper()
+	return startFleetWith(t, maxDescriptors, time.Millisecond)
+}
+
+// startFleetWith starts a fleet whose processes have the limit of descriptors. Its upstreams take the
+// service time.
+func startFleetWith(t *testing.T, descriptors int, serviceTime time.Duration) (alpha, beta *node) {
 	t.Helper()
 	store := standin.NewStore()
 	store.PutConfig(standin.OperatorConfig(1, []string{"alpha", "beta"}, 0))
 	storeAddress := serve(t, store)
-	alpha, beta = startNode(t, "alpha", storeAddress), startNode(t, "beta", storeAddress)
+	alpha, beta = startNode(t, "alpha", storeAddress, descriptors, serviceTime), startNode(t, "beta", storeAddress, descriptors, serviceTime)
 	await.Eventually(t, "each node serves requests for the other", func() bool { return alpha.request("beta") == nil && beta.request("alpha") == nil })
 	return alpha, beta
 }
@@ -100,10 +110,10 @@
 	return address, port
 }
 
-func startNode(t *testing.T, service, storeAddress string) *node {
+func startNode(t *testing.T, service, storeAddress string, descriptors int, serviceTime time.Duration) *node {
 	t.Helper()
-	n := &node{service: service, callers: await.FreeAddress(t), ready: await.FreeAddress(t), announce: await.FreeAddress(t), exited: make(chan struct{})}
-	upstream := &standin.Upstream{ID: "u-" + service, Service: service, AnnounceAddress: n.announce, Slots: 10, ServiceTime: time.Millisecond, OnExecute: func(standin.Execution) {}}
+	n := &node{service: service, maxDescriptors: descriptors, callers: await.FreeAddress(t), ready: await.FreeAddress(t), announce: await.FreeAddress(t), exited: make(chan struct{})}
+	upstream := &standin.Upstream{ID: "u-" + service, Service: service, AnnounceAddress: n.announce, Slots: 10, ServiceTime: serviceTime, OnExecute: func(standin.Execution) {}}
 	upstream.Restart(0)
 	upstream.Address = serve(t, upstream)
 	var ports [2]int
@@ -112,7 +122,7 @@
 	host, _, _ := net.SplitHostPort(n.peer)
 	settings := standin.SettingsFile("z-"+service, service, upstream.Address, n.callers, n.ready, n.announce, storeAddress, ports)
 	settings = strings.Replace(settings, `ip = "127.0.0.1"`, fmt.Sprintf("ip = %q", host), 1)
-	settings += fmt.Sprintf("[limits]\nmemory_mb = %d\nmax_fds = %d\n", memoryMegabytes, maxDescriptors)
+	settings += fmt.Sprintf("[limits]\nmemory_mb = %d\nmax_fds = %d\n", memoryMegabytes, descriptors)
 	path := filepath.Join(t.TempDir(), "node.toml")
 	n.logPath = path + ".log"
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
@@ -162,38 +172,72 @@
 // request sends an ordinary request for the service to the node on a new connection. The error
 // is nil if it is served.
 func (n *node) request(service string) error {
-	names := platform.HeaderNames()
+	status, err := n.exchange(fmt.Sprintf("GET /safe/x HTTP/1.1\r\nHost: %s\r\n%s: c%d\r\n\r\n", service, platform.HeaderNames().RequestID, requests.Add(1)))
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("status %d", status)
+	}
+	return err
+}
+
+// exchange sends a request on a new connection and returns the status of the response.
+func (n *node) exchange(text string) (status int, err error) {
 	conn, err := net.DialTimeout("tcp", n.callers, requestTimeout)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(requestTimeout))
-	if _, err := fmt.Fprintf(conn, "GET /safe/x HTTP/1.1\r\nHost: %s\r\n%s: c%d\r\n\r\n", service, names.RequestID, requests.Add(1)); err != nil {
-		return err
+	if _, err := io.WriteString(conn, text); err != nil {
+		return 0, err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(resp.Body)
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = fmt.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(b))
-	}
-	return err
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
 }
 
 var peakPattern = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
 
-// check checks that the process lives and stays within its limits.
-func (n *node) check(t *testing.T) {
-	t.Helper()
+// alive returns an error if the process has exited.
+func (n *node) alive() error {
 	select {
 	case <-n.exited:
 		b, _ := os.ReadFile(n.logPath)
-		t.Fatalf("node of %s has exited: %s", n.service, b[max(0, len(b)-2000):])
+		return fmt.Errorf("node of %s has exited: %s", n.service, b[max(0, len(b)-2000):])
 	default:
+		return nil
+	}
+}
+
+// stop stops the process as planned, and returns an error if that does not end all requests.
+func (n *node) stop() error {
+	if err := n.process.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	<-n.exited
+	b, err := os.ReadFile(n.logPath)
+	if err != nil {
+		return err
+	}
+	if state := n.process.ProcessState; !state.Success() {
+		return fmt.Errorf("node of %s: %v: %s", n.service, state, b[max(0, len(b)-2000):])
+	}
+	for line := range bytes.Lines(b) {
+		if bytes.Contains(line, []byte(event.NodeFailed.Message)) {
+			return fmt.Errorf("node of %s: %s", n.service, line)
+		}
+	}
+	return nil
+}
+
+// check checks that the process lives and stays within its limits.
+func (n *node) check(t *testing.T) {
+	t.Helper()
+	if err := n.alive(); err != nil {
+		t.Fatal(err)
 	}
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
 	if err != nil {
@@ -212,7 +256,7 @@
 	if peak > memoryMegabytes {
 		t.Errorf("node of %s: peak of %.0f MB, limit %d MB", n.service, peak, memoryMegabytes)
 	}
-	if descriptors > maxDescriptors {
-		t.Errorf("node of %s: %d descriptors, limit %d", n.service, descriptors, maxDescriptors)
+	if descriptors > int64(n.maxDescriptors) {
+		t.Errorf("node of %s: %d descriptors, limit %d", n.service, descriptors, n.maxDescriptors)
 	}
 }
