exchange: end a request whose body breaks off

A request whose rest of the body was lost held the slot of its upstream until its deadline: the response was awaited although the upstream waited for the body. The upstream then counted as failing, and after a lost answer as possibly crashed, through no fault of its own.

The write now reports that the body broke off, and the response is awaited for 100 ms more, so that one which is on its way still arrives. Such a failure is not put down to the upstream.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -20,6 +20,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mulberrytray/mulberrytray/pkg/bodybuf"
@@ -32,6 +33,9 @@
 	ErrNotSent = errors.New("request not sent to the upstream")
 	// ErrOutcomeUnknown means that the request may have run.
 	ErrOutcomeUnknown = errors.New("no complete response from the upstream")
+	// ErrBodyBroken means that the rest of the request's body could not be read. It wraps
+	// ErrOutcomeUnknown.
+	ErrBodyBroken = fmt.Errorf("%w: body of the request broken off", ErrOutcomeUnknown)
 	// ErrConnRefused means that the upstream accepts no connections. It wraps ErrNotSent.
 	ErrConnRefused = fmt.Errorf("%w: connection refused", ErrNotSent)
 )
@@ -55,6 +59,8 @@
 	// concurrentWriteBytes is the size above which a body is written while the
 	// response is awaited, since upstreams may respond before they have read it.
 	concurrentWriteBytes = 8 << 10
+	// brokenBodyWait is how long the response is awaited after the body of the request broke off.
+	brokenBodyWait = 100 * time.Millisecond
 	// maxForeignResponses bounds the number of responses to other requests that are
 	// skipped.
 	maxForeignResponses = 4
@@ -279,14 +285,23 @@
 // ends the effect of the context on the connection, as returned by context.AfterFunc.
 func (c *Client) run(cn *conn, req *Request, stop func() bool) (*Response, error) {
 	written := make(chan error, 1)
+	var answered atomic.Bool
 	if req.Rest != nil || len(req.Body) > concurrentWriteBytes {
-		go func() { written <- write(cn, req) }()
+		go func() {
+			err := write(cn, req)
+			written <- err
+			if errors.Is(err, ErrBodyBroken) && !answered.Load() {
+				// The upstream waits for the rest, unless its response is on its way.
+				_ = cn.SetReadDeadline(time.Now().Add(brokenBodyWait))
+			}
+		}()
 	} else if err := write(cn, req); err != nil {
 		return nil, err
 	} else {
 		written <- nil
 	}
 	resp, err := readResponse(cn, req)
+	answered.Store(true)
 	if err != nil {
 		return nil, writeError(written, err)
 	}
@@ -321,11 +336,11 @@
 	return out, nil
 }
 
-// writeError returns the error of the write if it wraps ErrNotSent, otherwise err.
+// writeError returns the error of the write if it wraps ErrNotSent or ErrBodyBroken, otherwise err.
 func writeError(written chan error, err error) error {
 	select {
 	case werr := <-written:
-		if errors.Is(werr, ErrNotSent) {
+		if errors.Is(werr, ErrNotSent) || errors.Is(werr, ErrBodyBroken) {
 			return werr
 		}
 	default:
--- a/pkg/exchange/write.go
+++ b/pkg/exchange/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -39,22 +40,47 @@
 
 // writeStream sends a body that is not buffered as a whole.
 func writeStream(cn *conn, req *Request) error {
-	body := io.MultiReader(bytes.NewReader(req.Body), req.Rest)
+	source := &bodySource{r: req.Rest}
+	body := io.MultiReader(bytes.NewReader(req.Body), source)
+	var err error
 	if req.Length >= 0 {
-		if _, err := io.CopyN(cn, body, req.Length); err != nil {
-			return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
-		}
-		return nil
+		_, err = io.CopyN(cn, body, req.Length)
+	} else {
+		err = writeChunks(cn, body)
+	}
+	switch {
+	case source.err != nil:
+		return fmt.Errorf("%w: %w", ErrBodyBroken, source.err)
+	case errors.Is(err, io.EOF):
+		return fmt.Errorf("%w: shorter than %d bytes", ErrBodyBroken, req.Length)
+	case err != nil:
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
+	return nil
+}
+
+func writeChunks(cn *conn, body io.Reader) error {
 	w := httputil.NewChunkedWriter(cn)
 	if _, err := io.Copy(w, body); err != nil {
-		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		return err
 	}
 	if err := w.Close(); err != nil {
-		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		return err
 	}
-	if _, err := io.WriteString(cn, "\r\n"); err != nil {
-		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	_, err := io.WriteString(cn, "\r\n")
+	return err
+}
+
+// bodySource records the error with which a body breaks off.
+type bodySource struct {
+	r   io.Reader
+	err error
+}
+
+func (s *bodySource) Read(p []byte) (int, error) {
+	n, err := s.r.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.err = err
 	}
-	return nil
+	return n, err
 }
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -17,6 +17,9 @@
 )
 
 // Run runs the call at the upstream. It never returns nil. Cancelling the context
+// reasonBodyBroken is for calls whose body broke off or stalled while it was sent to the upstream.
+const reasonBodyBroken = "body-broken"
+
 // withdraws a waiting call and cancels a running idempotent one; other running calls
 // continue until they complete.
 func (s *Sidecar) Run(ctx context.Context, c *Call) *Result {
@@ -135,7 +138,9 @@
 	if err != nil {
 		result := s.classifyError(ctx, began, err)
 		cancel()
-		s.checkCrash(result)
+		if result.Reason != reasonBodyBroken {
+			s.checkCrash(result)
+		}
 		s.release(r, false)
 		return result
 	}
@@ -203,6 +208,9 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded):
 		s.observeResult(began, false)
 		return failed("no-answer-in-time", true)
+	case errors.Is(err, exchange.ErrBodyBroken):
+		// This says nothing about the upstream.
+		return failed(reasonBodyBroken, false)
 	}
 	s.observeResult(began, false)
 	s.requestColdProbe()
