bodybuf, mesh: count the garbage of bodies in the memory of a small VM

Beside 400 callers whose bodies of 1 MB stop short, a process with 64 MB stayed only just within its memory. A buffer grew by a quarter at a time, which leaves some four times the length of a body to the garbage collector, and the heap's target of 70 % left 19 MB for the rest, of which the program's own pages take 13.

Buffers now double, up to the length of the body if it is known. The heap's target leaves at least 24 MB for the program. Nothing changes from 84 MB on.

--- a/pkg/bodybuf/bodybuf.go
+++ b/pkg/bodybuf/bodybuf.go
@@ -166,9 +166,10 @@
 }
 
 // grow increases the buffer's capacity, up to limit. It reports whether the limit and the budget
-// allow it. The earlier bytes stay counted until they are copied.
+// allow it. The earlier bytes stay counted until they are copied. Smaller steps would leave several times
+// the length of a body to the garbage collector.
 func (b *Buffer) grow(limit int64) bool {
-	size := min(limit, int64(cap(b.Bytes))+max(blockBytes, int64(cap(b.Bytes))/4))
+	size := min(limit, int64(cap(b.Bytes))+max(blockBytes, int64(cap(b.Bytes))))
 	if size <= int64(cap(b.Bytes)) || !b.budget.acquire(size) {
 		return false
 	}
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -83,6 +83,11 @@
 	requestMemoryDivisor = 4
 	// defaultRequestMemory is used if the process's memory is not limited.
 	defaultRequestMemory = 256 << 20
+	// programBytes is for the program itself and the kernel's buffers, which don't shrink with the
+	// process's memory.
+	programBytes = 24 << 20
+	// minHeapTarget is the least target of the heap. Below it, a node would only collect garbage.
+	minHeapTarget = 16 << 20
 	// heapPermille is the part of the process's memory above which the garbage collector runs
 	// more often. Without that, the heap may grow to twice of what is in use. The rest is for
 	// what is not in the heap of Go.
@@ -91,7 +96,12 @@
 
 // HeapTarget returns the memory in bytes that the garbage collector should stay below, or 0 if
 // the process's memory is not limited.
-func (s Settings) HeapTarget() int64 { return s.MemoryBytes / 1000 * heapPermille }
+func (s Settings) HeapTarget() int64 {
+	if s.MemoryBytes == 0 {
+		return 0
+	}
+	return max(minHeapTarget, min(s.MemoryBytes/1000*heapPermille, s.MemoryBytes-programBytes))
+}
 
 // requestMemory returns the memory in bytes for what requests in progress take besides bodies.
 func (s Settings) requestMemory() int64 {
--- a/pkg/relay/body.go
+++ b/pkg/relay/body.go
@@ -48,7 +48,12 @@
 	if length > limit {
 		return errBodyTooLarge
 	}
-	buffer, err := bodies.Read(body, bufferBytes(c.Idempotent, length))
+	size := bufferBytes(c.Idempotent, length)
+	if length >= 0 {
+		// The buffer of a whole body is not longer than the body. One more byte shows its end.
+		size = min(size, length+1)
+	}
+	buffer, err := bodies.Read(body, size)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return errBodyTimeout
 	}
