mesh: end stalled bodies when a node stops

A planned stop beside a crowd ended its time with requests in progress and logged "node failed" with "context deadline exceeded": bodies that did not come were awaited until the time limits of their requests, also where these were after the stop, and a request was refused only once its body had come.

A stopping node ends stalled bodies at every check, refuses a request that can't end in time at its header, and reads no unread body beyond the stop. Connections whose responses are written no longer count as a failed stop.

--- a/pkg/mesh/stop.go
+++ b/pkg/mesh/stop.go
@@ -36,6 +36,7 @@
 	n.sidecar.StopAt(deadline)
 	upstreamStopped := false
 	for time.Now().Before(deadline) {
+		n.requests.EvictBodies(deadline)
 		if !upstreamStopped && time.Since(start) > unreadyDuration-upstreamFinishTime {
 			n.sidecar.Stop()
 			upstreamStopped = true
@@ -65,7 +66,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	_ = n.listeners[0].Close()
-	if err := n.connections.drain(ctx); err != nil {
+	n.requests.EvictBodies(time.Now())
+	// A connection without a handler has its response, and is only kept open until its caller has read that.
+	if err := n.connections.drain(ctx); err != nil && n.ingress.Active() > 0 {
 		n.deps.Events.Emit(event.NodeFailed, event.Fields{"error": err.Error(), "during": "stop", "active": n.ingress.Active()})
 		n.ingress.Abort()
 		n.awaitHandlers()
--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -191,6 +191,10 @@
 	rs.place = place
 	defer in.closeRequest(rs)
 	connection.permitAhead(r, rt)
+	if in.stopsBefore(rs) {
+		in.reject(w, r, http.StatusServiceUnavailable, reasonStopping, stoppingRetry)
+		return
+	}
 	if r.ContentLength > bodyBufferBytes && !place.beginLong() {
 		in.reject(w, r, http.StatusServiceUnavailable, reasonMemory, memoryRetry)
 		return
--- a/pkg/relay/requestbody.go
+++ b/pkg/relay/requestbody.go
@@ -25,9 +25,14 @@
 // limitBodyDrain bounds the time for which the server reads the rest of a body after
 // the response. Otherwise a caller that stops sending would occupy its connection.
 func (in *Ingress) limitBodyDrain(w http.ResponseWriter, r *http.Request) {
-	if r.Body != http.NoBody {
-		in.setReadDeadline(w, r, time.Now().Add(bodyDrainTimeout))
+	if r.Body == http.NoBody {
+		return
+	}
+	end := time.Now().Add(bodyDrainTimeout)
+	if at := in.stopAt.Load(); at != nil && at.Before(end) {
+		end = *at
 	}
+	in.setReadDeadline(w, r, end)
 }
 
 // closeBody ends the reading of a body that may still be forwarded. Otherwise the server
--- a/pkg/relay/stalledbody_test.go
+++ b/pkg/relay/stalledbody_test.go
@@ -210,3 +210,20 @@
 		})
 	}
 }
+
+// Guards against a planned stop that waits for bodies which do not come or whose requests can't be served any more.
+func TestStopEndsStalledBodies(t *testing.T) {
+	u := startUpstream(t, func(c net.Conn, r *http.Request) { writeOK(c, r, "x") })
+	p := newPipelinePath(t, u, true)
+	p.limitPlaces(10)
+	p.stall(t, 3, "/once/", "Content-Length: 1000\r\n\r\n")
+	await.Eventually(t, "the bodies are awaited", func() bool { return p.limit.Receiving() == 3 })
+	at := time.Now().Add(time.Second)
+	p.StopAt(at)
+	p.limit.EvictBodies(at)
+	await.Eventually(t, "no request is left", func() bool { return p.Active() == 0 })
+	conn := p.stall(t, 1, "/once/", "Content-Length: 1000\r\n\r\n")[0]
+	if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%v, %v for a request that can't end before the stop", resp, err)
+	}
+}
