connlimit: count what decoded headers take until the response

Beside 400 connections that sent whole headers of 16,000 bytes, processes with 64 MB took 68 MB (empty fields), 89 (different names), 136 (cookies), 69 (odd characters) and 130 (different names, the body stops short) at the listener for callers, and 83 and 92 MB over HTTP/1 at that for nodes: the memory was counted with 32 bytes a line and only while a header came in. Decoded, copied for the call and once more by the pipeline, a line of four bytes takes some hundred, until the request ends. What a pipelined client had sent ahead was not counted as a header at all.

A header counts with its bytes and 512 for each line, without the first 16 KB, as the server gets it (the pipeline reports what it delivers) and until the response is written; what the server read with the request before is charged at its begin. The budget is an eighth of the memory, setting HeaderMemoryBytes (--header-memory-bytes); 150 headers of 16 KB in 256 lines at once are below it with 184 MB. Without room, a request with a stalled body gives way, then the header that comes the slowest; a single one always has room. A connection also finds a place if a stalled body can give way. Requests with more than 64 lines do not start ahead. The test of the limits uses the new cost, which is higher.

--- a/cmd/mtmesh/main_test.go
+++ b/cmd/mtmesh/main_test.go
@@ -37,6 +37,8 @@
 		{"no service", "standalone --check --failure-domain d", "no service"},
 		{"address without port", "standalone --check --service a --failure-domain d --peer-address 127.0.0.1", "peer address"},
 		{"broken routes", "standalone --check --service a --failure-domain d --routes " + broken, "invalid routes"},
+		{"negative memory for headers", "standalone --check --service a --failure-domain d --header-memory-bytes -1", "for headers is negative"},
+		{"too much memory for headers", "standalone --check --service a --failure-domain d --memory-bytes 100000000 --header-memory-bytes 30000000", "more than a quarter"},
 		{"no body rate", "standalone --check --service a --failure-domain d --min-body-rate 0", "must be positive"},
 		{"unknown log level", "standalone --service a --failure-domain d --log-level loud", "log level"},
 	} {
--- a/cmd/mtmesh/standalone.go
+++ b/cmd/mtmesh/standalone.go
@@ -42,6 +42,7 @@
 			&cli.StringSliceFlag{Name: "peers", Usage: "peer addresses of other nodes", Sources: cli.EnvVars("MTMESH_PEERS"), Destination: &s.peers},
 			&cli.DurationFlag{Name: "stop-within", Usage: "time from the stop signal to the end of the process (at least 1s)", Value: 6 * time.Second, Sources: cli.EnvVars("MTMESH_STOP_WITHIN"), Destination: &s.node.StopWithin},
 			&cli.FloatFlag{Name: "probes-per-second", Usage: "bound of the probes of the upstream", Value: 20, Sources: cli.EnvVars("MTMESH_PROBES_PER_SECOND"), Destination: &s.node.ProbesPerSecond},
+			&cli.Int64Flag{Name: "header-memory-bytes", Usage: "memory for decoded headers beyond the first 16 KiB of each (0: an eighth of --memory-bytes, 32 MiB without it)", Sources: cli.EnvVars("MTMESH_HEADER_MEMORY_BYTES"), Destination: &s.node.HeaderMemoryBytes},
 			&cli.Int64Flag{Name: "min-body-rate", Usage: "bytes per second below which the body of a request is stalled and gives way to others", Value: intake.DefaultLimits.BytesPerSecond, Sources: cli.EnvVars("MTMESH_MIN_BODY_RATE"), Destination: &s.node.Bodies.BytesPerSecond},
 			&cli.DurationFlag{Name: "max-body-pause", Usage: "pause after which the body of a request is stalled", Value: intake.DefaultLimits.Pause, Sources: cli.EnvVars("MTMESH_MAX_BODY_PAUSE"), Destination: &s.node.Bodies.Pause},
 			&cli.Int64Flag{Name: "memory-bytes", Usage: "memory that the process may use; a quarter of it is for bodies (0: 64 MiB for bodies)", Sources: cli.EnvVars("MTMESH_MEMORY_BYTES"), Destination: &s.node.MemoryBytes},
--- a/pkg/connlimit/connlimit.go
+++ b/pkg/connlimit/connlimit.go
@@ -1,17 +1,16 @@
-// Package connlimit limits what connections take that have no request: their number and the headers
-// that are being received on them.
+// Package connlimit limits the connections of a node and the memory of the headers on them.
 //
 // Load pattern: crowds of callers outside the limits that send headers which are too long or never
-// end, or only open connections. net/http keeps a header of any caller up to a fixed limit before a
-// handler or a budget knows of it, so some hundred such connections fill the memory of a small VM
-// or take all of its descriptors. A header beyond the limit in force is refused as soon as it
-// exceeds the limit. At the limit of all headers or of connections, the connection that has waited
-// longest is closed, so that a caller beside the crowd still finds a place. A connection with a
-// request in progress is never closed.
+// end, headers of legal size made of very many short lines, or only open connections. net/http keeps
+// and decodes a header of any caller up to a fixed limit before a handler or a budget knows of it, so
+// some hundred such connections fill the memory of a small VM or take all of its descriptors. A header
+// beyond the limit in force is refused as soon as it exceeds the limit. Each header counts with what it
+// takes once it is decoded, until its response is written. At the limit of all headers or of
+// connections, a request in progress that is not worth its place gives way, then the connection without
+// a request that has waited longest, so that a caller beside the crowd still finds a place.
 package connlimit
 
 import (
-	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -40,9 +39,15 @@
 	// HeaderBytes returns the limit of a header in force, with what the server may read beyond
 	// its end.
 	HeaderBytes func() int64
+	// Reclaim makes a request in progress give way whose connection is not worth its place, and reports
+	// whether there was one. Its end may take some milliseconds. It may be nil.
+	Reclaim func() bool
 	// ReceiveBytes is the size of the kernel's receive buffer of a connection, or 0 for that of
 	// the system.
 	ReceiveBytes int
+	// CountsDelivered is set if a wrapper of the connections calls CountHeader with the bytes that it
+	// delivers to the server, since it reads ahead of the server.
+	CountsDelivered bool
 	// StreamsPerSecond is the rate of new streams of HTTP/2 beyond which reading pauses, or 0
 	// if there is no limit.
 	StreamsPerSecond float64
@@ -108,22 +113,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v := p.admit(&c.entry)
+	if v == full && l.limits.Reclaim != nil && p.unlocked(l.limits.Reclaim) {
+		p.await(p.closed, func() bool { return p.open-p.closing < p.limit })
+		v = p.admit(&c.entry)
+	}
+	if v == full {
+		p.refused[TooMany]++
+	}
 	if v != retry {
 		return v == admitted
 	}
-	timedOut := false
-	timer := time.AfterFunc(closingWait, func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		timedOut = true
-		p.closed.Broadcast()
-	})
-	defer timer.Stop()
-	for v == retry && !timedOut {
-		p.closed.Wait()
-		v = p.admit(&c.entry)
-	}
-	if v == retry {
+	if !p.await(p.closed, func() bool { v = p.admit(&c.entry); return v != retry }) {
 		p.refused[TooMany]++
 	}
 	return v == admitted
@@ -177,8 +177,6 @@
 // http2Preface is the beginning of a connection of HTTP/2 (RFC 9113, section 3.4).
 const http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 
-var newline = []byte{'\n'}
-
 // Read implements net.Conn. It counts the bytes of headers.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.entry.isRefused.Load() || c.checkResets() {
@@ -191,17 +189,45 @@
 		}
 		return n, err
 	}
-	if n == 0 || !c.entry.counting.Load() || c.isHTTP2(p[:n]) {
+	if n == 0 || c.listener.limits.CountsDelivered || !c.entry.counting.Load() || c.isHTTP2(p[:n]) {
 		return n, err
 	}
-	if reason := c.entry.pool.receive(&c.entry, int64(n), int64(bytes.Count(p[:n], newline)), c.listener.limits.HeaderBytes()); reason != "" {
-		c.sendRefusal(reason)
-		// The server sends no response of its own after a timeout.
-		return 0, os.ErrDeadlineExceeded
+	if err := c.CountHeader(p[:n]); err != nil {
+		return 0, err
 	}
 	return n, err
 }
 
+// CountHeader counts the bytes that the server gets as part of a header, unless it has a request. An error
+// means that the connection is refused; the server must get it instead of the bytes.
+func (c *Conn) CountHeader(p []byte) error {
+	// Bytes that were read before the connection was refused pass: if they complete a request, it is
+	// served.
+	if !c.entry.counting.Load() {
+		return nil
+	}
+	n, lines := c.entry.scanner.scan(p)
+	reason := c.entry.pool.receive(&c.entry, n, lines, c.listener.limits.HeaderBytes())
+	if reason == "" {
+		return nil
+	}
+	c.sendRefusal(reason)
+	// The server sends no response of its own after a timeout.
+	return os.ErrDeadlineExceeded
+}
+
+// ChargeHeader counts a decoded header of the connection's request as far as it was not counted while it
+// was received: the server may have read its beginning with the end of the request before. It returns how
+// many bytes of the memory for headers the request holds, and whether there is room. n is the number of the
+// header's bytes.
+func ChargeHeader(conn net.Conn, n, fields int) (counted int64, ok bool) {
+	c := unwrap(conn)
+	if c == nil {
+		return 0, true
+	}
+	return c.entry.pool.charge(&c.entry, int64(n), int64(fields))
+}
+
 // isHTTP2 reports whether the preface of HTTP/2 has been received, p last.
 func (c *Conn) isHTTP2(p []byte) bool {
 	if c.matched < 0 {
--- a/pkg/connlimit/pool.go
+++ b/pkg/connlimit/pool.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Reason is why a connection was closed.
@@ -27,12 +28,13 @@
 var Reasons = []Reason{HeaderTooLong, HeaderMemory, TooMany, StreamResets}
 
 const (
-	// lineBytes is what each line of a header counts besides its bytes, as in HTTP/2: fields of six
-	// bytes take about ten times as much once they are decoded.
-	lineBytes = 32
+	// lineBytes is what each line of a header counts besides its bytes: a field takes an entry of a map,
+	// a slice and two strings once it is decoded, and is copied for the call to another node and for the
+	// upstream.
+	lineBytes = 512
 	// freeHeaderBytes of each header are not counted, so that ordinary requests never depend
-	// on the memory for headers. The server's buffer for reading has the same size.
-	freeHeaderBytes = 4 << 10
+	// on the memory for headers.
+	freeHeaderBytes = 16 << 10
 	// maxClosing is the number of connections that may be closing beyond the limit.
 	maxClosing = 16
 	// maxCandidates bounds how many connections with unread bytes are passed over in the
@@ -40,18 +42,59 @@
 	maxCandidates = 8
 )
 
-// Limiter counts the headers that are being received on all connections of a node. It is safe for
-// concurrent use.
+// Limiter counts the headers on all connections of a node, from their first byte until the response is
+// written. It is safe for concurrent use.
 type Limiter struct {
 	mu    sync.Mutex
 	limit int64
 	used  int64
-	// holders are the entries with counted bytes, the one that took some first in front.
+	// holders are the entries whose headers are being received and count, the one that took some
+	// first in front.
 	holders list.List
+	// reclaim makes a request in progress give way, see SetReclaim.
+	reclaim func() bool
+	// released is signaled when counted bytes are given back.
+	released *sync.Cond
 }
 
 // NewLimiter returns a limiter of the bytes of all headers beyond the free ones.
-func NewLimiter(headerBytes int64) *Limiter { return &Limiter{limit: headerBytes} }
+func NewLimiter(headerBytes int64) *Limiter {
+	l := &Limiter{limit: headerBytes, reclaim: func() bool { return false }}
+	l.released = sync.NewCond(&l.mu)
+	return l
+}
+
+// SetReclaim sets the function that makes a request in progress give way whose header is not worth what it
+// takes, and reports whether there was one. Its end may take some milliseconds. The function must be set
+// before the first connection is accepted.
+func (l *Limiter) SetReclaim(reclaim func() bool) { l.reclaim = reclaim }
+
+// await waits until the condition holds, which is checked whenever cond is signaled, at most for
+// closingWait. The caller holds the lock.
+func (l *Limiter) await(cond *sync.Cond, condition func() bool) bool {
+	timedOut := false
+	timer := time.AfterFunc(closingWait, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		timedOut = true
+		cond.Broadcast()
+	})
+	defer timer.Stop()
+	for !condition() {
+		if timedOut {
+			return false
+		}
+		cond.Wait()
+	}
+	return true
+}
+
+// unlocked calls f without the lock, which the caller holds.
+func (l *Limiter) unlocked(f func() bool) bool {
+	l.mu.Unlock()
+	defer l.mu.Lock()
+	return f()
+}
 
 // Used returns the number of counted bytes.
 func (l *Limiter) Used() int64 {
@@ -93,10 +136,12 @@
 	// begun is how often begin was called.
 	begun   int
 	removed bool
-	// received is the length of the header so far, size the memory that it takes, and counted
-	// what of that the limiter counts.
-	received, size, counted int64
-	reason                  Reason
+	// received and lines are the length of the header so far and the number of its lines, and counted is
+	// what the limiter counts for it.
+	received, lines, counted int64
+	reason                   Reason
+	// scanner is at the place in the header up to which the bytes were counted.
+	scanner headerScanner
 	// counting and isRefused are read without the lock.
 	counting, isRefused atomic.Bool
 }
@@ -116,7 +161,6 @@
 // longest instead. The caller holds the lock.
 func (p *pool) admit(e *entry) verdict {
 	if p.open-p.closing >= p.limit && !p.refuseOldest() {
-		p.refused[TooMany]++
 		return full
 	}
 	if p.open >= p.limit+maxClosing {
@@ -147,6 +191,7 @@
 // refuse refuses an entry and gives back what it holds.
 func (p *pool) refuse(e *entry, reason Reason) {
 	e.pool.endWait(e)
+	e.pool.release(e)
 	e.reason = reason
 	e.isRefused.Store(true)
 	e.pool.closing++
@@ -174,6 +219,7 @@
 		l = &p.idle
 	}
 	e.waiting = l.PushBack(e)
+	e.received, e.lines, e.scanner = 0, 0, headerScanner{}
 	e.counting.Store(!e.http2)
 }
 
@@ -187,17 +233,19 @@
 	p.idle.Remove(e.waiting)
 	e.waiting = nil
 	e.counting.Store(false)
-	p.release(e)
+	if e.held != nil {
+		p.holders.Remove(e.held)
+		e.held = nil
+	}
 }
 
 // release gives back the counted bytes.
 func (p *pool) release(e *entry) {
-	if e.held != nil {
-		p.holders.Remove(e.held)
-		e.held = nil
+	if e.counted > 0 {
+		p.used -= e.counted
+		e.counted = 0
+		p.released.Broadcast()
 	}
-	p.used -= e.counted
-	e.received, e.size, e.counted = 0, 0, 0
 }
 
 // receive counts n more bytes with the number of lines of a header that may have limit bytes. The
@@ -209,34 +257,74 @@
 		return e.reason
 	}
 	e.received += n
-	e.size += n + lines*lineBytes
+	e.lines += lines
 	if e.received > limit {
 		p.refuse(e, HeaderTooLong)
 		return e.reason
 	}
-	more := e.size - freeHeaderBytes - e.counted
-	if more <= 0 {
-		return ""
-	}
-	if e.held == nil {
+	if e.needs() > 0 && e.held == nil {
 		e.held = p.holders.PushBack(e)
 	}
-	for p.used+more > p.Limiter.limit {
-		oldest := p.holders.Front().Value.(*entry)
-		p.refuse(oldest, HeaderMemory)
-		if oldest == e {
+	for !p.take(e) {
+		if p.unlocked(p.reclaim) {
+			p.await(p.released, func() bool { return e.waiting == nil || p.hasRoom(e) })
+		} else if e.waiting != nil {
+			// One whose header comes more slowly gives way.
+			p.refuse(p.holders.Front().Value.(*entry), HeaderMemory)
+		}
+		if e.waiting == nil {
 			return e.reason
 		}
 	}
+	return ""
+}
+
+// HeaderCost returns how much of the memory for headers one takes, in bytes.
+func HeaderCost(headerBytes, lines int64) int64 {
+	return max(0, headerBytes+lines*lineBytes-freeHeaderBytes)
+}
+
+// needs returns how many more bytes the header of an entry takes than are counted.
+func (e *entry) needs() int64 { return max(0, HeaderCost(e.received, e.lines)-e.counted) }
+
+// hasRoom reports whether the header of an entry may be counted. A single one may have any size that the
+// limit of its listener allows.
+func (p *pool) hasRoom(e *entry) bool {
+	return e.needs() == 0 || p.used+e.needs() <= p.Limiter.limit || p.used == e.counted
+}
+
+// take counts the header of an entry, and reports whether there was room.
+func (p *pool) take(e *entry) bool {
+	if !p.hasRoom(e) {
+		return false
+	}
+	more := e.needs()
 	p.used += more
 	e.counted += more
-	return ""
+	return true
+}
+
+// charge counts a decoded header with the number of bytes and fields as far as it was not counted while it
+// was received. It returns the counted bytes and whether there was room.
+func (p *pool) charge(e *entry, n, fields int64) (counted int64, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e.waiting != nil || e.removed || e.http2 {
+		return 0, true
+	}
+	e.received, e.lines = max(e.received, n), max(e.lines, fields)
+	ok = p.take(e) || p.unlocked(p.reclaim) && p.await(p.released, func() bool { return p.take(e) })
+	return e.counted, ok
 }
 
 // setHTTP2 ends the counting of headers, which the server limits for HTTP/2.
 func (p *pool) setHTTP2(e *entry) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if e.held != nil {
+		p.holders.Remove(e.held)
+		e.held = nil
+	}
 	p.release(e)
 	e.http2 = true
 	e.counting.Store(false)
@@ -263,6 +351,7 @@
 func (p *pool) end(e *entry) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.release(e)
 	// The server reports a request when a connection of HTTP/2 begins.
 	e.used = !e.http2 || e.begun > 1
 	p.startWait(e)
@@ -277,6 +366,7 @@
 	}
 	e.removed = true
 	p.endWait(e)
+	p.release(e)
 	if p.open--; e.reason != "" {
 		p.closing--
 	}
--- a/pkg/mesh/limits.go
+++ b/pkg/mesh/limits.go
@@ -10,6 +10,7 @@
 
 	"github.com/mulberrytray/mulberrytray/pkg/connlimit"
 	"github.com/mulberrytray/mulberrytray/pkg/event"
+	"github.com/mulberrytray/mulberrytray/pkg/intake"
 )
 
 const (
@@ -39,12 +40,12 @@
 	// one at the limit of HTTP/2 headers. The calls of one second take at most the memory of the
 	// process: 2,000 with 64 MB, where the two-year target has 250.
 	streamBytes = 32 << 10
-	// headerMemoryDivisor is the part of the process's memory for headers that are being received,
-	// each without its first 4 KB and with 32 bytes for each line. They take up to twice as much
-	// once they are decoded. With 184 MB, 280 headers of 16 KB in 250 lines fit at a time.
-	headerMemoryDivisor = 32
+	// headerMemoryDivisor is the part of the process's memory for headers, from their first byte until
+	// the response is written, each without its first 16 KB and with 512 bytes for each line. With
+	// 184 MB, 175 headers of 16 KB in 256 lines fit at a time.
+	headerMemoryDivisor = 8
 	// defaultHeaderMemory is used if the process's memory is not limited.
-	defaultHeaderMemory = 16 << 20
+	defaultHeaderMemory = 32 << 20
 	// headerSlack is what the server may read beyond the end of a header (its buffer has 4 KB),
 	// and spaces that count on the wire only.
 	headerSlack = 8 << 10
@@ -59,6 +60,9 @@
 	switch name {
 	case callerListener:
 		limits.Connections, limits.HeaderBytes = s.connections(callerShare, callerConnectionBytes), n.callerHeaderBytes
+		// The pipeline reads ahead.
+		limits.CountsDelivered = true
+		limits.Reclaim = func() bool { return n.requests.Evict(intake.Place) }
 	case peerListener:
 		limits.Connections, limits.ReceiveBytes = s.connections(peerShare, peerConnectionBytes), peerReceiveBytes
 		limits.StreamsPerSecond = float64(s.MemoryBytes / streamBytes)
@@ -101,8 +105,11 @@
 	return int(min(limit.Cur, 1<<30))
 }
 
-// headerMemory returns the memory for headers that are being received in bytes.
+// headerMemory returns the memory for headers in bytes.
 func (s Settings) headerMemory() int64 {
+	if s.HeaderMemoryBytes > 0 {
+		return s.HeaderMemoryBytes
+	}
 	if s.MemoryBytes == 0 {
 		return defaultHeaderMemory
 	}
--- a/pkg/mesh/limits_test.go
+++ b/pkg/mesh/limits_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+
+	"github.com/mulberrytray/mulberrytray/pkg/connlimit"
 )
 
 // Guards against limits that callers within those of the configuration reach, and against shares that
@@ -14,7 +16,7 @@
 		if caller < callers*perCaller || peer < 300 || small < 50 {
 			t.Errorf("%d MB and %d descriptors: %d connections of callers, %d of nodes, %d of others", s.MemoryBytes/1e6, s.MaxDescriptors, caller, peer, small)
 		}
-		if m := s.headerMemory(); m < sendingAtOnce*(headerBytes+headerBytes/64*32) {
+		if m := s.headerMemory(); m < sendingAtOnce*connlimit.HeaderCost(headerBytes, headerBytes/64) {
 			t.Errorf("%d MB: %d bytes for headers", s.MemoryBytes/1e6, m)
 		}
 	}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -80,7 +80,7 @@
 	// connections are those of the callers.
 	connections *callerConnections
 
-	// headers limits the headers that are being received, limited are the listeners that do so.
+	// headers limits the memory of headers, limited are the listeners that do so.
 	headers *connlimit.Limiter
 	limited []limitedListener
 
@@ -126,6 +126,7 @@
 	n.requests = relay.NewRequestLimitWith(s.requestMemory(), s.bodyLimits())
 	n.sidecar.SetRequestLimit(n.requests)
 	n.bodies.SetReclaim(func() bool { return n.requests.Evict(intake.Place) })
+	n.headers.SetReclaim(func() bool { return n.requests.Evict(intake.Header) })
 	n.dir.sidecar, n.dir.metrics = n.sidecar, n.metrics
 	n.gossip.status, n.gossip.onStatus = n.status, n.handleStatus
 	n.gossip.departure, n.gossip.onDeparture = n.departure, n.handleDeparture
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -61,6 +61,9 @@
 	// MaxDescriptors is the number of file descriptors that the process may open, or 0 for the
 	// limit of the process.
 	MaxDescriptors int
+	// HeaderMemoryBytes is the memory for decoded headers beyond the first 16 KB of each, or 0 for a part
+	// of MemoryBytes.
+	HeaderMemoryBytes int64
 	// Bodies tells when the body of a request is stalled, so that it gives way to others. The zero value
 	// stands for intake.DefaultLimits.
 	Bodies intake.Limits
@@ -88,6 +91,8 @@
 	requestMemoryDivisor = 4
 	// defaultRequestMemory is used if the process's memory is not limited.
 	defaultRequestMemory = 256 << 20
+	// maxHeaderMemoryDivisor bounds the part of the process's memory that headers may have.
+	maxHeaderMemoryDivisor = 4
 	// programBytes is for the program itself and the kernel's buffers, which don't shrink with the
 	// process's memory.
 	programBytes = 24 << 20
@@ -153,6 +158,10 @@
 		return fmt.Errorf("%w: no failure domain", ErrSettings)
 	case s.MemoryBytes < 0:
 		return fmt.Errorf("%w: memory of %d bytes is negative", ErrSettings, s.MemoryBytes)
+	case s.HeaderMemoryBytes < 0:
+		return fmt.Errorf("%w: memory of %d bytes for headers is negative", ErrSettings, s.HeaderMemoryBytes)
+	case s.MemoryBytes > 0 && s.HeaderMemoryBytes > s.MemoryBytes/maxHeaderMemoryDivisor:
+		return fmt.Errorf("%w: memory of %d bytes for headers is more than a quarter of all", ErrSettings, s.HeaderMemoryBytes)
 	case s.bodyLimits().Validate() != nil:
 		return fmt.Errorf("%w: %w", ErrSettings, s.bodyLimits().Validate())
 	case s.MaxDescriptors < 0:
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -13,6 +13,7 @@
 package pipeline
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -31,6 +32,9 @@
 	MaxAhead = 8
 	// maxHeldBytes is the maximum number of bytes that are read ahead of the server.
 	maxHeldBytes = 16 << 10
+	// maxAheadLines is the maximum number of lines in the head of a request that is started ahead, which
+	// is decoded twice. Others wait for their turn.
+	maxAheadLines = 64
 	// minHeldBytes is the size of the first buffer for them.
 	minHeldBytes = 2 << 10
 	// lingerTime is how long a connection with unserved requests still receives after its last
@@ -95,6 +99,11 @@
 	CloseWrite() error
 }
 
+var newline = []byte{'\n'}
+
+// headerCounter limits the headers that the server gets. An error refuses the bytes.
+type headerCounter interface{ CountHeader(p []byte) error }
+
 // Conn is a connection of a caller. Its reads stop at the end of each request.
 type Conn struct {
 	tcpConn
@@ -149,14 +158,22 @@
 		return c.readAhead(p)
 	}
 	if len(c.held) > 0 {
-		defer c.mu.Unlock()
-		return c.deliverHeld(p), nil
+		n := c.deliverHeld(p)
+		c.mu.Unlock()
+		return c.count(p, n, nil)
 	}
 	c.mu.Unlock()
 	n, err := c.tcpConn.Read(p)
 	if n == 0 {
 		return n, err
 	}
+	n, err = c.split(p, n, err)
+	return c.count(p, n, err)
+}
+
+// split returns how many of the n bytes of p that were read belong to the current request, and holds the
+// others.
+func (c *Conn) split(p []byte, n int, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -172,6 +189,16 @@
 	return delivered, err
 }
 
+// count reports the n bytes of p to the connection below, which may refuse them.
+func (c *Conn) count(p []byte, n int, err error) (int, error) {
+	if counter, ok := c.tcpConn.(headerCounter); ok && n > 0 {
+		if err := counter.CountHeader(p[:n]); err != nil {
+			return 0, err
+		}
+	}
+	return n, err
+}
+
 // deliverHeld moves held bytes to p, up to the end of a request. The lock must be held.
 func (c *Conn) deliverHeld(p []byte) int {
 	n, ended := c.delivered.next(c.held[:min(len(p), len(c.held))])
@@ -299,10 +326,12 @@
 			c.blocked = c.examined.phase != inHead
 			return
 		}
+		var r *http.Request
 		var started Started
-		r := parseHead(c.held[c.headAt:c.examinedBytes])
-		if r != nil {
-			started = c.start(r)
+		if head := c.held[c.headAt:c.examinedBytes]; bytes.Count(head, newline) <= maxAheadLines {
+			if r = parseHead(head); r != nil {
+				started = c.start(r)
+			}
 		}
 		if started == nil {
 			c.blocked = true
--- a/pkg/relay/connection.go
+++ b/pkg/relay/connection.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
+
+	"github.com/mulberrytray/mulberrytray/pkg/connlimit"
 )
 
 // CloseReason is why a caller's connection was closed.
@@ -29,6 +32,17 @@
 // MarkClosed records that this node closes the connection.
 func (c *Connection) MarkClosed(reason CloseReason) { c.closed.CompareAndSwap(nil, &reason) }
 
+// chargeHeader counts what the header of the connection's request takes. It reports whether that is more than
+// usual, and whether there is room.
+func (c *Connection) chargeHeader(r *http.Request) (isLong, ok bool) {
+	fields := 0
+	for _, values := range r.Header {
+		fields += len(values)
+	}
+	counted, ok := connlimit.ChargeHeader(c.Conn, headerBytes(r), fields)
+	return counted > 0, ok
+}
+
 // resetOnClose makes the connection's close a reset.
 func (c *Connection) resetOnClose() {
 	if tcp, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -169,6 +169,11 @@
 		return
 	}
 	defer place.end()
+	hasLongHeader, ok := connection.chargeHeader(r)
+	if !ok {
+		in.reject(w, r, http.StatusServiceUnavailable, reasonMemory, memoryRetry)
+		return
+	}
 	if limit := table.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit || callBytes(r) > maxCallHeaderBytes {
 		in.reject(w, r, http.StatusRequestHeaderFieldsTooLarge, "header-too-large", 0)
 		return
@@ -188,7 +193,7 @@
 		return
 	}
 	rs := in.newRequestState(r, table, rt, organisation)
-	rs.place = place
+	rs.place, rs.hasLongHeader = place, hasLongHeader
 	defer in.closeRequest(rs)
 	connection.permitAhead(r, rt)
 	if in.stopsBefore(rs) {
--- a/pkg/relay/requestbody.go
+++ b/pkg/relay/requestbody.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mulberrytray/mulberrytray/pkg/event"
+	"github.com/mulberrytray/mulberrytray/pkg/intake"
 )
 
 // readRequest reads the beginning of the body, at most until the request's deadline.
@@ -14,6 +15,9 @@
 	}
 	in.setReadDeadline(w, r, rs.deadline)
 	body := rs.place.receive(http.NewResponseController(w), r.Body, in.Bodies.NewBuffer(), rs.deadline)
+	if rs.hasLongHeader {
+		body.tracked.Hold(intake.Header)
+	}
 	err := readBody(&rs.call, body, r.ContentLength, limit)
 	if err == nil {
 		// The server continues to read in order to detect that the caller disconnects.
--- a/pkg/relay/requeststate.go
+++ b/pkg/relay/requeststate.go
@@ -31,6 +31,8 @@
 	errorResponse *Result
 	// place is the place of a request that is received by a handler.
 	place *place
+	// hasLongHeader is set if the header takes memory that is limited.
+	hasLongHeader bool
 }
 
 // newRequestState returns the state of a request, without the body. The time limit is
