mesh: bound the time of requests at the small listeners

A request whose body did not come kept its connection at the announce, ready and metrics listeners and, over HTTP/1, at the listener for nodes for good: only the header had a time limit, and a connection with a request is never closed. Some 121 of them (with 4,100 descriptors) kept the upstream's own messages out.

Requests at these listeners end after 3 s with their bodies, and connections over HTTP/1 at the listener for nodes serve one request, as nodes use them. TestStalledRequestsLeaveTheOtherListeners failed before (open after 10 s) and passes.

--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -28,13 +28,15 @@
 	// aloneReadyDelay is how long a node without other members waits after its first
 	// configuration before it is ready.
 	aloneReadyDelay = 1200 * time.Millisecond
-	// headerTimeout is the time limit for reading a request header, except from callers.
-	headerTimeout = 10 * time.Second
 	// maxCallerHeaderBytes bounds the header of a caller's request, for which the configuration
 	// has a lower limit.
 	maxCallerHeaderBytes = 128 << 10
 	// dropReportInterval is how often dropped log lines and closed connections are reported.
 	dropReportInterval = 5 * time.Second
+	// smallRequestTimeout bounds receiving a request at the small listeners, with its body.
+	smallRequestTimeout = 3 * time.Second
+	// smallIdleTimeout is how long a connection of a small listener may stay idle.
+	smallIdleTimeout = 3 * time.Minute
 	// callerListener and peerListener are the names of the listeners for callers and other nodes.
 	callerListener, peerListener = "caller", "peer"
 )
@@ -208,8 +210,8 @@
 	}{
 		{callerListener, s.CallerAddress, callers},
 		{peerListener, s.PeerAddress, relay.NewPeerServer(http.HandlerFunc(n.servePeer))},
-		{"ready", s.ReadyAddress, &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxSmallHeaderBytes}},
-		{"announce", s.AnnounceAddress, &http.Server{Handler: n.deps.Announcements(n.sidecar), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxSmallHeaderBytes}},
+		{"ready", s.ReadyAddress, &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadTimeout: smallRequestTimeout, IdleTimeout: smallIdleTimeout, MaxHeaderBytes: maxSmallHeaderBytes}},
+		{"announce", s.AnnounceAddress, &http.Server{Handler: n.deps.Announcements(n.sidecar), ReadTimeout: smallRequestTimeout, IdleTimeout: smallIdleTimeout, MaxHeaderBytes: maxSmallHeaderBytes}},
 	}
 	if s.MetricsAddress != "" {
 		mux := http.NewServeMux()
@@ -217,7 +219,7 @@
 		list = append(list, struct {
 			name, address string
 			server        *http.Server
-		}{"metrics", s.MetricsAddress, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxSmallHeaderBytes}})
+		}{"metrics", s.MetricsAddress, &http.Server{Handler: mux, ReadTimeout: smallRequestTimeout, IdleTimeout: smallIdleTimeout, MaxHeaderBytes: maxSmallHeaderBytes}})
 	}
 	for _, l := range list {
 		listener, err := net.Listen("tcp", l.address)
@@ -338,6 +340,15 @@
 
 // servePeer serves calls and configuration requests of other nodes.
 func (n *Node) servePeer(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor == 1 {
+		// Nodes use HTTP/1 for one request on each connection. What follows it isn't counted.
+		w.Header().Set("Connection", "close")
+	}
+	if r.Body != http.NoBody {
+		// Only calls need their bodies, and have a time limit of their own. An error means that the
+		// connection is closed.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(smallRequestTimeout))
+	}
 	switch r.URL.Path {
 	case relay.CallPath:
 		n.sidecar.ServePeer(w, r)
