soak: clients whose requests do not end, and signals in series

The soak knew only callers within the limits, and one fault at a time. Crowds of 60 connections now send headers of many short fields, bodies that stop short and bodies that do not come to a node, for up to 6 s beside the faults that follow; a stop comes in the middle of a crowd, and signals come in series at a frozen process. A request without its whole body must not run, nor one that was refused, and each process must stay within the memory of the smallest VM (184 MB).

--- a/cmd/mtsoak/main.go
+++ b/cmd/mtsoak/main.go
@@ -56,7 +56,7 @@
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
 		}
-		fmt.Printf("seed %d: %d requests, %d served, %d refused, %d faults, %d violations, most runs in 5 s %v, most at a cold upstream in 1 s %d\n", seed, r.Requests, r.Served, r.Rejected, len(r.Faults), len(r.Violations), r.MaxRuns, r.MaxColdArrivals)
+		fmt.Printf("seed %d: %d requests, %d served, %d refused, %d faults, %d violations, most runs in 5 s %v, most at a cold upstream in 1 s %d, most memory beside a crowd %.0f MB\n", seed, r.Requests, r.Served, r.Rejected, len(r.Faults), len(r.Violations), r.MaxRuns, r.MaxColdArrivals, r.MaxMemoryMegabytes)
 		for _, v := range r.Violations {
 			fmt.Println("  " + v)
 		}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -41,6 +41,34 @@
 		time.Sleep(faultDuration(r))
 		return v.signal(syscall.SIGCONT)
 	}},
+	{"crowd", func(s *soak, v *vm, r *rand.Rand) error {
+		s.startCrowd(v, r)
+		return nil
+	}},
+	{"crowd and stop", func(s *soak, v *vm, r *rand.Rand) error {
+		s.startCrowd(v, r)
+		time.Sleep(faultDuration(r) / 2)
+		if err := v.signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+		v.wait()
+		return v.start()
+	}},
+	{"signals", func(_ *soak, v *vm, r *rand.Rand) error {
+		for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGSTOP, syscall.SIGTERM, syscall.SIGHUP} {
+			if err := v.signal(sig); err != nil {
+				return err
+			}
+		}
+		time.Sleep(faultDuration(r) / 2)
+		for _, sig := range []syscall.Signal{syscall.SIGCONT, syscall.SIGHUP, syscall.SIGTERM} {
+			if err := v.signal(sig); err != nil {
+				return err
+			}
+		}
+		v.wait()
+		return v.start()
+	}},
 	{"reload", func(_ *soak, v *vm, _ *rand.Rand) error { return v.signal(syscall.SIGHUP) }},
 	{"kill all", func(s *soak, _ *vm, _ *rand.Rand) error {
 		for _, v := range s.vms {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -64,6 +64,8 @@
 	MaxRuns map[string]int
 	// MaxColdArrivals is the largest number of requests that a cold upstream got within one second.
 	MaxColdArrivals int
+	// MaxMemoryMegabytes is the largest memory of a process that met a crowd.
+	MaxMemoryMegabytes float64
 }
 
 // soak is the state of a run. The mutex guards the fields below it.
@@ -73,6 +75,8 @@
 	vms   []*vm
 	quit  chan struct{}
 	wg    sync.WaitGroup
+	// nextCrowd is the number of the next crowd.
+	nextCrowd int
 
 	mu     sync.Mutex
 	report Report
@@ -130,7 +134,7 @@
 			return Report{}, err
 		}
 		s.vms = append(s.vms, v)
-		if err := v.start(); err != nil {
+		if err := errors.Join(v.limit(crowdMemoryMegabytes, crowdDescriptors), v.start()); err != nil {
 			return Report{}, err
 		}
 	}
@@ -184,6 +188,9 @@
 	s.executions[e.RequestID]++
 	n, drained := s.executions[e.RequestID], s.drainedAt[e.Upstream]
 	s.mu.Unlock()
+	if strings.HasPrefix(e.RequestID, "once-crowd") {
+		s.violation("request %s ran without its whole body", e.RequestID)
+	}
 	if n > 1 && strings.HasPrefix(e.RequestID, "once") {
 		s.violation("request %s ran %d times", e.RequestID, n)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,8 +23,8 @@
 //
 // Seeds 955 and 979 failed once, at a load average of 48 on 6 cores: after the faults the
 // nodes logged nothing for up to 12 s and served no requests. Both pass without other load.
-// Before the faults "withdraw key", "evacuate", "take back" and "cold" were added, these seeds
-// injected others than today.
+// Before the faults "withdraw key", "evacuate", "take back", "cold", "crowd", "crowd and stop" and "signals"
+// were added, these seeds injected others than today.
 var seeds = []uint64{1, 130, 309, 955, 979}
 
 func TestSoak(t *testing.T) {
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -166,6 +166,23 @@
 	return nil
 }
 
+// pid returns the id of the node's process.
+func (v *vm) pid() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.process.Process.Pid
+}
+
+// limit sets the limits of the node's process. It must be called before start.
+func (v *vm) limit(memoryMegabytes, descriptors int) error {
+	f, err := os.OpenFile(v.settingsPath(), os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(f, "[limits]\nmemory_mb = %d\nmax_fds = %d\n", memoryMegabytes, descriptors)
+	return errors.Join(err, f.Close())
+}
+
 // wait waits until the node's process has exited.
 func (v *vm) wait() {
 	v.mu.Lock()
