mesh: end only stalled bodies at the begin of a stop

Found by reading; callers would have got 408 or another offer, both of which are true.

TestStopEndsBodiesThatCannotBeServed covers the limit.

--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -109,6 +109,16 @@
 	b.due = min(max(b.due, now-l.Pause)+earned, now+l.Pause)
 }
 
+// SetDeadline sets when the request is given up.
+func (b *Body) SetDeadline(deadline time.Duration) {
+	if b.table == nil {
+		return
+	}
+	b.table.mu.Lock()
+	defer b.table.mu.Unlock()
+	b.deadline = deadline
+}
+
 // Hold records that the request holds the resource. It reports whether the body is still being received.
 func (b *Body) Hold(r Resource) bool {
 	if b.table == nil {
--- a/pkg/intake/intake_test.go
+++ b/pkg/intake/intake_test.go
@@ -126,11 +126,13 @@
 	served := begin("served", 3*time.Second)
 	now := DefaultLimits.Pause + time.Second
 	stalled := begin("stalled", 3*time.Second)
-	for _, b := range []*Body{sent, served} {
+	extended := begin("extended", 3*time.Second)
+	extended.SetDeadline(9 * time.Second)
+	for _, b := range []*Body{sent, served, extended} {
 		b.Progress(now, 1<<20)
 	}
 	table.EvictAfter(now, 5*time.Second)
-	if !evicted["late"] || !evicted["stalled"] || evicted["sent"] || evicted["served"] || !stalled.End() {
+	if !evicted["late"] || !evicted["extended"] || !evicted["stalled"] || evicted["sent"] || evicted["served"] || !stalled.End() {
 		t.Errorf("gave way: %v", evicted)
 	}
 }
@@ -140,6 +142,7 @@
 	var table *Table
 	b := table.Begin(0, 0, nil)
 	b.Progress(time.Hour, 1)
+	b.SetDeadline(time.Hour)
 	if !b.Hold(Slot) || b.End() || table.Evict(time.Hour, Place) {
 		t.Error("a nil table tracks a body")
 	}
--- a/pkg/mesh/stop.go
+++ b/pkg/mesh/stop.go
@@ -36,7 +36,7 @@
 	n.sidecar.StopAt(deadline)
 	upstreamStopped := false
 	for time.Now().Before(deadline) {
-		n.requests.EvictBodies(deadline)
+		n.requests.EvictStalled()
 		if !upstreamStopped && time.Since(start) > unreadyDuration-upstreamFinishTime {
 			n.sidecar.Stop()
 			upstreamStopped = true
@@ -45,6 +45,7 @@
 		if time.Since(start) > unreadyDuration {
 			// Callers that still send requests may have no other node.
 			n.ingress.StopAt(deadline)
+			n.requests.EvictBodies(deadline)
 			if idle {
 				break
 			}
--- a/pkg/relay/receivedbody.go
+++ b/pkg/relay/receivedbody.go
@@ -53,6 +53,13 @@
 	return n, err
 }
 
+// setDeadline sets when the request is given up.
+func (b *receivedBody) setDeadline(deadline time.Time) {
+	if l := b.place.limit; l != nil {
+		b.tracked.SetDeadline(deadline.Sub(l.start))
+	}
+}
+
 // end ends the tracking of the body. It may be called on nil and more than once.
 func (b *receivedBody) end() {
 	if b != nil {
--- a/pkg/relay/requestlimit.go
+++ b/pkg/relay/requestlimit.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -65,6 +66,9 @@
 	return l != nil && l.bodies.Evict(l.now(), r)
 }
 
+// EvictStalled makes the requests give way whose bodies have stalled.
+func (l *RequestLimit) EvictStalled() { l.bodies.EvictAfter(l.now(), math.MaxInt64) }
+
 // EvictBodies makes the requests give way whose bodies have stalled, and those that wait for a body and
 // whose deadlines are after the end.
 func (l *RequestLimit) EvictBodies(end time.Time) { l.bodies.EvictAfter(l.now(), end.Sub(l.start)) }
--- a/pkg/relay/servepeer.go
+++ b/pkg/relay/servepeer.go
@@ -55,12 +55,16 @@
 	}
 	defer place.end()
 	control := http.NewResponseController(w)
-	// A call whose body does not come would occupy its place for as long as its connection is open. An
-	// error means that the connection is closed.
-	limitRead := func(timeout time.Duration) { _ = control.SetReadDeadline(time.Now().Add(timeout + responseSlack)) }
-	limitRead(defaultTimeout)
-	body := place.receive(control, r.Body, s.client.Bodies.NewBuffer(), time.Now().Add(defaultTimeout))
+	// The time limit of the call is not known yet. An error means that the connection is closed.
+	_ = control.SetReadDeadline(time.Now().Add(defaultTimeout))
+	body := place.receive(control, r.Body, s.client.Bodies.NewBuffer(), time.Now())
 	defer body.end()
+	// A call whose body does not come would occupy its place for as long as its connection is open.
+	limitRead := func(timeout time.Duration) {
+		deadline := time.Now().Add(timeout + responseSlack)
+		body.setDeadline(deadline)
+		_ = control.SetReadDeadline(deadline)
+	}
 	c, err := decodeCall(r, body, s.client.Bodies, limitRead)
 	if errors.Is(err, errHeaderNoMemory) || errors.Is(err, errBodyStalled) {
 		w.Header().Set(outcomeHeader, rejected(reasonMemory, memoryRetry).encodeOutcome())
