connlimit: admit a connection beside one that gives way

At the limit of connections the listener waited up to 50 ms for the connection of a stalled request to close, during which it accepted no others, and then turned the new one away: net/http needs half a second to close a connection whose body was not read. Found by reading.

The new connection is now open beside the one that closes, up to the 16 beyond the limit that refused connections already may take. TestRequestsGiveWayToConnections covers both limits.

--- a/pkg/connlimit/connlimit.go
+++ b/pkg/connlimit/connlimit.go
@@ -114,8 +114,7 @@
 	defer p.mu.Unlock()
 	v := p.admit(&c.entry)
 	if v == full && l.limits.Reclaim != nil && p.unlocked(l.limits.Reclaim) {
-		p.await(p.closed, func() bool { return p.open-p.closing < p.limit })
-		v = p.admit(&c.entry)
+		v = p.admitBeside(&c.entry)
 	}
 	if v == full {
 		p.refused[TooMany]++
--- a/pkg/connlimit/connlimit_test.go
+++ b/pkg/connlimit/connlimit_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -185,3 +186,37 @@
 	}
 	await.Eventually(t, "the connection is refused", func() bool { return l.Refused(StreamResets) == 1 })
 }
+
+// Guards against connections whose requests could give way and that keep all others out, and against more
+// connections than the server can close.
+func TestRequestsGiveWayToConnections(t *testing.T) {
+	const limit = 3
+	release := make(chan struct{})
+	defer close(release)
+	var stalled atomic.Bool
+	var running atomic.Int64
+	l := startServer(t, Limits{Connections: limit, HeaderBytes: fixed(30 << 10), Reclaim: stalled.Load}, NewLimiter(1<<20), false, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/" {
+			running.Add(1)
+			<-release
+		}
+	})
+	for range limit {
+		dial(t, l, request+"\r\n")
+	}
+	await.Eventually(t, "all connections have requests", func() bool { return running.Load() == limit })
+	if got := status(dial(t, l, strings.Replace(request, "/ ", "/x ", 1)+"\r\n")); got != 0 {
+		t.Errorf("status %d for a connection without a place", got)
+	}
+	stalled.Store(true)
+	if got := status(dial(t, l, strings.Replace(request, "/ ", "/x ", 1)+"\r\n")); got != http.StatusOK {
+		t.Errorf("status %d for a connection for which a request gives way", got)
+	}
+	for range 2 * maxClosing {
+		dial(t, l, request+"\r\n")
+	}
+	await.Eventually(t, "the limit is reached", func() bool { return l.Refused(TooMany) > 1 })
+	if n := l.Open(); n > limit+maxClosing {
+		t.Errorf("%d open connections, limit %d", n, limit)
+	}
+}
--- a/pkg/connlimit/pool.go
+++ b/pkg/connlimit/pool.go
@@ -171,6 +171,17 @@
 	return admitted
 }
 
+// admitBeside decides about a new connection for which a request in progress gives way. Until the server has
+// closed the connection of that one, both are open. The caller holds the lock.
+func (p *pool) admitBeside(e *entry) verdict {
+	if p.open >= p.limit+maxClosing {
+		return full
+	}
+	p.open++
+	p.startWait(e)
+	return admitted
+}
+
 // refuseOldest refuses the entry that has waited longest, one without a request so far if there
 // is one, and reports whether it found one.
 func (p *pool) refuseOldest() bool {
