--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -93,17 +93,23 @@
 	}
 }
 
-// gather holds a crowd at the address for crowdTime. Meanwhile and afterwards, the processes must live
-// within their limits; afterwards, ordinary requests must be served.
-func gather(t *testing.T, alpha, beta *node, address string, send member) {
+// hold keeps a crowd of the size at the address for a time.
+func hold(t *testing.T, address string, size int, duration time.Duration, send member) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), crowdTime)
+	ctx, cancel := context.WithTimeout(t.Context(), duration)
 	defer cancel()
 	var wg sync.WaitGroup
-	for range crowdSize {
+	for range size {
 		wg.Go(func() { attend(ctx, address, send) })
 	}
 	wg.Wait()
+}
+
+// gather holds a crowd at the address for crowdTime. Meanwhile and afterwards, the processes must live
+// within their limits; afterwards, ordinary requests must be served.
+func gather(t *testing.T, alpha, beta *node, address string, send member) {
+	t.Helper()
+	hold(t, address, crowdSize, crowdTime, send)
 	checkAfterCrowd(t, alpha, beta)
 }
 
--- a/internal/crowd/request_test.go
+++ b/internal/crowd/request_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/mulberrytray/mulberrytray/internal/await"
 	"github.com/mulberrytray/mulberrytray/platform"
+	"github.com/mulberrytray/mulberrytray/platform/standin"
 )
 
 const (
@@ -27,7 +28,8 @@
 	requestServiceTime = 50 * time.Millisecond
 	// requestCrowdTime is how long these crowds stay.
 	requestCrowdTime = 3 * time.Second
-	// legalHeaderBytes and legalBodyBytes are within the limits of the configuration (16,384 and 1,048,576).
+	// legalHeaderBytes and legalBodyBytes are within the limits of the configuration (16,384 and 1,048,576)
+	// and of the other listeners.
 	legalHeaderBytes = 16000
 	legalBodyBytes   = 1 << 20
 	// shortBodyBytes is the length of a body that ordinary requests have.
@@ -35,8 +37,6 @@
 	// pieceBytes and piecePause describe a body that comes slowly.
 	pieceBytes = 2000
 	piecePause = 20 * time.Millisecond
-	// smallHeaderBytes is within the limit of the small listeners and of those for other nodes.
-	smallHeaderBytes = 16000
 )
 
 // lines are the kinds of header lines that take many times their length in memory.
@@ -60,29 +60,24 @@
 	return b.String()
 }
 
-// target is what a crowd sends requests to.
-type target struct {
-	// start returns the start of a header with the method.
-	start func(method string) string
-	// headerBytes is the length of its headers.
-	headerBytes int
-}
+// target returns the start of a header with the method, for what a crowd sends requests to.
+type target func(method string) string
 
 func callerTarget(path string) target {
-	return target{func(method string) string {
+	return func(method string) string {
 		return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: beta\r\n%s: crowd\r\n", method, path, platform.HeaderNames().RequestID)
-	}, legalHeaderBytes}
+	}
 }
 
 var (
-	safeTarget, onceTarget = callerTarget("/safe/x"), callerTarget("/once/x")
-	callTarget             = target{func(method string) string {
+	safeTarget, onceTarget target = callerTarget("/safe/x"), callerTarget("/once/x")
+	callTarget             target = func(method string) string {
 		return method + " /mt/call HTTP/1.1\r\nHost: h\r\nMt-Call: alpha;;crowd;crowd;1;300;300;1500;1;c;POST\r\nMt-Uri: /once/x\r\n"
-	}, smallHeaderBytes}
-	announceTarget = target{func(method string) string {
-		return method + " /?of=u-alpha&call=instances.heartbeat HTTP/1.1\r\nHost: h\r\n"
-	}, smallHeaderBytes}
-	plainTarget = target{func(method string) string { return method + " /metrics HTTP/1.1\r\nHost: h\r\n" }, smallHeaderBytes}
+	}
+	announceTarget target = func(method string) string {
+		return method + " " + standin.AnnouncePath("u-alpha") + " HTTP/1.1\r\nHost: h\r\n"
+	}
+	plainTarget target = func(method string) string { return method + " /metrics HTTP/1.1\r\nHost: h\r\n" }
 )
 
 // again sends the text again and again without waiting for responses, which it reads.
@@ -121,21 +116,21 @@
 func headerCrowds(to target) []crowdOf {
 	var crowds []crowdOf
 	for _, l := range lines {
-		crowds = append(crowds, crowdOf{"whole headers of " + l.desc, again(fill(to.start("GET"), l.line, to.headerBytes) + "\r\n")})
+		crowds = append(crowds, crowdOf{"whole headers of " + l.desc, again(fill(to("GET"), l.line, legalHeaderBytes) + "\r\n")})
 	}
-	names := fill(to.start("POST")+fmt.Sprintf("Content-Length: %d\r\n", shortBodyBytes), lines[1].line, to.headerBytes)
+	names := fill(to("POST")+fmt.Sprintf("Content-Length: %d\r\n", shortBodyBytes), lines[1].line, legalHeaderBytes)
 	return append(crowds,
 		crowdOf{"headers of different names, the body stops short", once(names + "\r\n" + strings.Repeat("x", shortBodyBytes-1))},
-		crowdOf{"headers over the limit", again(fill(to.start("GET"), lines[0].line, to.headerBytes*5/4) + "\r\n")},
-		crowdOf{"empty lines before requests", again("\r\n\r\n" + to.start("GET") + "\r\n")},
-		crowdOf{"requests after chunked ones", again(to.start("POST") + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + fill(to.start("POST")+"Transfer-Encoding: chunked\r\n", lines[1].line, to.headerBytes) + "\r\n0\r\n\r\n")},
+		crowdOf{"headers over the limit", again(fill(to("GET"), lines[0].line, legalHeaderBytes*5/4) + "\r\n")},
+		crowdOf{"empty lines before requests", again("\r\n\r\n" + to("GET") + "\r\n")},
+		crowdOf{"requests after chunked ones", again(to("POST") + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + fill(to("POST")+"Transfer-Encoding: chunked\r\n", lines[1].line, legalHeaderBytes) + "\r\n0\r\n\r\n")},
 	)
 }
 
 // bodyCrowds send bodies of legal size.
 func bodyCrowds(to target) []crowdOf {
-	withLength := to.start("POST") + fmt.Sprintf("Content-Length: %d\r\n\r\n", legalBodyBytes)
-	withChunks := to.start("POST") + "Transfer-Encoding: chunked\r\n\r\n"
+	withLength := to("POST") + fmt.Sprintf("Content-Length: %d\r\n\r\n", legalBodyBytes)
+	withChunks := to("POST") + "Transfer-Encoding: chunked\r\n\r\n"
 	almost := strings.Repeat("x", legalBodyBytes-1)
 	return []crowdOf{
 		{"bodies that stop short", once(withLength + almost)},
@@ -261,16 +256,10 @@
 	}
 }
 
-// gatherRequests holds a crowd of requests at the address.
+// gatherRequests holds a crowd of requests at the address, and checks the processes as gather does.
 func gatherRequests(t *testing.T, alpha, beta *node, address string, send member) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), requestCrowdTime)
-	defer cancel()
-	var wg sync.WaitGroup
-	for range requestCrowd {
-		wg.Go(func() { attend(ctx, address, send) })
-	}
-	wg.Wait()
+	hold(t, address, requestCrowd, requestCrowdTime, send)
 	checkAfterCrowd(t, alpha, beta)
 }
 
@@ -329,12 +318,12 @@
 	alpha, _ := startFleetWith(t, requestDescriptors, requestServiceTime)
 	id := platform.HeaderNames().RequestID
 	for _, tt := range []struct{ desc, text string }{
-		{"empty fields", fill(safeTarget.start("GET"), lines[0].line, 16300) + "\r\n"},
-		{"different names", fill(safeTarget.start("GET"), lines[1].line, 15700) + "\r\n"},
-		{"cookies", fill(safeTarget.start("GET"), lines[2].line, 14000) + "\r\n"},
-		{"odd characters", fill(safeTarget.start("GET"), lines[3].line, 14000) + "\r\n"},
-		{"largest body", onceTarget.start("POST") + fmt.Sprintf("Content-Length: %d\r\n\r\n", legalBodyBytes) + strings.Repeat("x", legalBodyBytes)},
-		{"largest body, idempotent", safeTarget.start("POST") + fmt.Sprintf("Content-Length: %d\r\n\r\n", legalBodyBytes) + strings.Repeat("x", legalBodyBytes)},
+		{"empty fields", fill(safeTarget("GET"), lines[0].line, 16300) + "\r\n"},
+		{"different names", fill(safeTarget("GET"), lines[1].line, 15700) + "\r\n"},
+		{"cookies", fill(safeTarget("GET"), lines[2].line, 14000) + "\r\n"},
+		{"odd characters", fill(safeTarget("GET"), lines[3].line, 14000) + "\r\n"},
+		{"largest body", onceTarget("POST") + fmt.Sprintf("Content-Length: %d\r\n\r\n", legalBodyBytes) + strings.Repeat("x", legalBodyBytes)},
+		{"largest body, idempotent", safeTarget("POST") + fmt.Sprintf("Content-Length: %d\r\n\r\n", legalBodyBytes) + strings.Repeat("x", legalBodyBytes)},
 	} {
 		t.Run(tt.desc, func(t *testing.T) {
 			status, err := alpha.exchange(strings.Replace(tt.text, id+": crowd", id+": single", 1))
@@ -379,7 +368,7 @@
 			t.Fatal(err)
 		}
 		defer func() { _ = conn.Close() }()
-		if _, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\nx", tt.to.start("POST"), shortBodyBytes); err != nil {
+		if _, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\nx", tt.to("POST"), shortBodyBytes); err != nil {
 			t.Fatal(err)
 		}
 		await.Eventually(t, "the connection at listener "+name+" is closed", func() bool {
