--- a/pkg/relay/stalledbody_test.go
+++ b/pkg/relay/stalledbody_test.go
@@ -156,7 +156,7 @@
 		t.Errorf("stalled request: %v, %v; want a status that does not promise that it has not run", resp, err)
 	}
 	if state := p.sidecar.UpstreamState(); state.FailurePermille != 0 || p.sidecar.Down() || len(p.sidecar.Suspects()) != 0 {
-		t.Errorf("upstream is blamed: %+v", state)
+		t.Errorf("upstream counts as failing or crashed: %+v", state)
 	}
 }
 
