route: compare the hosts of requests and routes in one form

Callers got 404 for all requests to a host that the configuration spells with capitals, a port, a final dot or the brackets of an IPv6 address.

Cause: Table.Match looked for the host in lower case and without its port, NewTable stored the routes under the host as it is written.

Change: both sides are brought into one form (lower case, no final dot, IPv6 addresses by value). A port counts only if the entry and the request both name one, and the entry with the request's port goes first. Event 1403 of a 404 has the version and whether the host is known. The state of splits is kept by host and prefix instead of the route's name, so that routes with the same name don't spoil each other's proportions.

--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -25,6 +25,8 @@
 	noConfigRetry = 300 * time.Millisecond
 	// reasonStopping is for requests that may last longer than a node that stops.
 	reasonStopping = "stopping"
+	// reasonNoRoute is for requests that no route matches.
+	reasonNoRoute = "no-route"
 	// stoppingRetry is the Retry-After of a node that restarts.
 	stoppingRetry = 500 * time.Millisecond
 	// noUpstreamRetry is the Retry-After if no upstream is known.
@@ -111,6 +113,7 @@
 // Install activates a routing table for requests that start from now on.
 func (in *Ingress) Install(t *route.Table) {
 	in.table.Store(t)
+	in.splitter.Prune(t)
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	maps.DeleteFunc(in.ages, func(name string, _ *ageEstimator) bool { return !t.HasRoute(name) })
@@ -180,7 +183,7 @@
 	}
 	rt := table.Match(r.Host, requestPath(r))
 	if rt == nil {
-		in.reject(w, r, http.StatusNotFound, "no-route", 0)
+		in.rejectNoRoute(w, r, table)
 		return
 	}
 	organisation, ok := in.identify(table, rt, r.Header)
--- a/pkg/relay/respond.go
+++ b/pkg/relay/respond.go
@@ -97,6 +97,16 @@
 	in.writeError(w, r, status, reason, retryAfter)
 }
 
+// rejectNoRoute responds to a request that no route of the table matches.
+func (in *Ingress) rejectNoRoute(w http.ResponseWriter, r *http.Request, t *route.Table) {
+	metrics.GetOrRegisterCounter("request.rejected", in.Metrics).Inc(1)
+	in.Events.Emit(event.RequestRejected, event.Fields{
+		"id": r.Header.Get(in.Names.RequestID), "host": r.Host, "status": http.StatusNotFound, "reason": reasonNoRoute,
+		"config": t.Version, "host_known": t.HasHost(r.Host),
+	})
+	in.writeError(w, r, http.StatusNotFound, reasonNoRoute, 0)
+}
+
 // rejectOverQuota responds to a request beyond the limit of its organisation.
 func (in *Ingress) rejectOverQuota(w http.ResponseWriter, r *http.Request, o *route.Organisation, retryAfter time.Duration) {
 	metrics.GetOrRegisterCounter("quota.rejected", in.Metrics).Inc(1)
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"net"
 	"slices"
 	"strings"
 	"time"
@@ -56,6 +55,9 @@
 	Services    []WeightedService
 	// Public routes accept requests without the key of an organisation.
 	Public bool
+
+	// port is that of Host. NewTable sets it.
+	port string
 }
 
 // Service describes the interchangeable upstreams of one service.
@@ -89,6 +91,7 @@
 	// on to each other unchanged.
 	Source []byte
 
+	// byHost holds the routes by the names of their hosts, as splitHost returns them.
 	byHost map[string][]*Route
 	byName map[string]*Route
 	organisations
@@ -112,7 +115,9 @@
 		if err := t.check(r); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrInvalid, &EntryError{"route", r.Name, err})
 		}
-		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		name, port := splitHost(r.Host)
+		r.port = port
+		t.byHost[name] = append(t.byHost[name], r)
 		t.byName[r.Name] = r
 	}
 	for _, hostRoutes := range t.byHost {
@@ -145,14 +150,30 @@
 	return nil
 }
 
-// Match returns the route of the host with the longest prefix of the path, or nil.
+// Match returns the route of the host with the longest prefix of the path, or nil. Routes whose
+// entry names the port of the request go first. Otherwise a port counts only if both the entry and
+// the request name one.
 func (t *Table) Match(host, path string) *Route {
-	for _, r := range t.byHost[hostOnly(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
+	name, port := splitHost(host)
+	var match *Route
+	for _, r := range t.byHost[name] {
+		if !strings.HasPrefix(path, r.Prefix) {
+			continue
+		}
+		if r.port == port {
 			return r
 		}
+		if match == nil && (r.port == "" || port == "") {
+			match = r
+		}
 	}
-	return nil
+	return match
+}
+
+// HasHost reports whether the table has routes of the host, whatever their port.
+func (t *Table) HasHost(host string) bool {
+	name, _ := splitHost(host)
+	return len(t.byHost[name]) > 0
 }
 
 // Routes returns all routes, by host and then in the order in which they are matched.
@@ -184,11 +205,3 @@
 	}
 	return n
 }
-
-// hostOnly returns the host in lower case and without a port.
-func hostOnly(host string) string {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
-	return strings.ToLower(host)
-}
--- a/pkg/route/split.go
+++ b/pkg/route/split.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 )
@@ -10,11 +11,16 @@
 // short runs of requests. It is safe for concurrent use.
 type Splitter struct {
 	mu     sync.Mutex
-	credit map[string]map[string]float64 // by route and service
+	credit map[splitKey]map[string]float64 // by route and service
 }
 
+// splitKey identifies a route over the versions of the configuration. Names of routes may repeat.
+type splitKey struct{ host, prefix string }
+
+func keyOf(r *Route) splitKey { return splitKey{HostKey(r.Host), r.Prefix} }
+
 func NewSplitter() *Splitter {
-	return &Splitter{credit: map[string]map[string]float64{}}
+	return &Splitter{credit: map[splitKey]map[string]float64{}}
 }
 
 // Pick returns the service for the next request of the route.
@@ -24,10 +30,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	credit := s.credit[r.Name]
+	key := keyOf(r)
+	credit := s.credit[key]
 	if credit == nil {
 		credit = initialCredit(r)
-		s.credit[r.Name] = credit
+		s.credit[key] = credit
 	}
 	total, best := 0.0, ""
 	for _, candidate := range r.Services {
@@ -46,6 +53,17 @@
 	return best
 }
 
+// Prune deletes the state of routes that the table does not contain.
+func (s *Splitter) Prune(t *Table) {
+	kept := map[splitKey]bool{}
+	for _, r := range t.Routes() {
+		kept[keyOf(r)] = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.credit, func(key splitKey, _ map[string]float64) bool { return !kept[key] })
+}
+
 // initialCredit returns the credits at a random point of the cycle, so that nodes that
 // start together don't all send their first request to the same service.
 func initialCredit(r *Route) map[string]float64 {
