route, platform: put a version in force although one entry is odd

After a version that lifts a limit by leaving out rate_per_s and keeps burst, keys that it takes away still ran requests, its routes got 404, and after a loss of all nodes nothing was served: nodes refused the version as a whole, although the store had acknowledged it.

Cause: DecodeConfig and NewTable returned an error for the first entry that broke a rule of our own, and the node kept the older version (event 1505: "burst without a rate").

Change: route.Build takes every entry as far as it is understood. One that is not holds back nothing else and permits no more than it states: a limit that is not understood closes its organisation, a key or host that is not understood counts as none, a route without a usable service answers 503 at once. The substitute depends on the version only, so that all nodes have the same table. Event 1110 and config.problems count such entries, and mtctl config check names them. Weights may have a fraction.

--- a/cmd/mtmesh/main.go
+++ b/cmd/mtmesh/main.go
@@ -110,6 +110,12 @@
 		next, err := platform.ReadSettings(path)
 		if err != nil {
 			events.Emit(event.SettingsInvalid, event.Fields{"error": err.Error()})
+			// An odd setting, which needs a restart anyway, must not hold back the address of the store.
+			if address, err := platform.ReadStoreAddress(path); err == nil && address != current.StoreAddress {
+				store.SetAddress(address)
+				current.StoreAddress = address
+				events.Emit(event.SettingsReloaded, event.Fields{"store": address, "restart_needed": true})
+			}
 			continue
 		}
 		// FirstStart only matters when the process starts.
--- a/pkg/configcheck/check.go
+++ b/pkg/configcheck/check.go
@@ -14,9 +14,11 @@
 // Kind is the kind of a finding.
 type Kind string
 
-// Kinds of findings. Nodes reject or ignore a configuration with an error.
+// Kinds of findings. Nodes reject or ignore a configuration with an Error. An entry that is Restricted
+// is in force in a stricter form than it is written, or not at all.
 const (
 	Error         Kind = "error"
+	Restricted    Kind = "restricted"
 	Unreachable   Kind = "never matches"
 	Contradiction Kind = "contradiction"
 	Difference    Kind = "difference"
@@ -41,6 +43,9 @@
 // other.
 func Check(t *route.Table) []Finding {
 	c := checker{table: t}
+	for _, p := range t.Problems {
+		c.add(Restricted, p.Name, fmt.Sprintf("%s %.100q", p.Kind, p.Name), "", "%s", p.Err)
+	}
 	c.checkLimits()
 	c.checkRoutes()
 	c.checkServices()
@@ -135,6 +140,9 @@
 		if len(o.Keys) == 0 {
 			c.add(Unreachable, o.Name, entry, "keys", "the organisation has no key")
 		}
+		if o.RatePerSecond == 0 && o.Burst > 0 {
+			c.add(Contradiction, o.Name, entry, "burst", "a burst of %g without a rate: the organisation has no limit", o.Burst)
+		}
 		if o.Limited() && o.Burst < 1 {
 			c.add(Contradiction, o.Name, entry, "burst", "a burst of %g has no room for one request", o.Burst)
 		}
--- a/pkg/configcheck/diff.go
+++ b/pkg/configcheck/diff.go
@@ -82,7 +82,7 @@
 func describeRoute(r *route.Route) (string, []field) {
 	var services []string
 	for _, s := range r.Services {
-		services = append(services, fmt.Sprintf("%s:%d", s.Service, s.Weight))
+		services = append(services, fmt.Sprintf("%s:%g", s.Service, s.Weight))
 	}
 	return r.Name, []field{
 		{"host", r.Host}, {"prefix", r.Prefix}, {"services", fmt.Sprint(services)}, {"idempotent", fmt.Sprint(r.Idempotent)}, {"rank", fmt.Sprint(r.Rank)},
@@ -102,7 +102,7 @@
 		rank = fmt.Sprint(*o.Rank)
 	}
 	return o.Name, []field{
-		{"keys", describeKeys(o.Keys)}, {"rank", rank}, {"rate", fmt.Sprintf("%g/s", o.RatePerSecond)}, {"burst", fmt.Sprint(o.Burst)},
+		{"keys", describeKeys(o.Keys)}, {"rank", rank}, {"rate", fmt.Sprintf("%g/s", o.RatePerSecond)}, {"burst", fmt.Sprint(o.Burst)}, {"closed", fmt.Sprint(o.Closed)},
 	}
 }
 
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -25,6 +25,7 @@
 	LogReplaced      = Event{1108, log.WarnLevel, "platform log was restored from an earlier copy"}
 
 	ConfigBoundTooShort = Event{1109, log.WarnLevel, "bound of the configuration is too short"}
+	ConfigRestricted    = Event{1110, log.WarnLevel, "entries of the configuration are in force in a stricter form"}
 )
 
 // Events of the membership, 1200 to 1299.
--- a/pkg/mesh/config.go
+++ b/pkg/mesh/config.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,6 +39,10 @@
 	// minRetryDelay and maxRetryDelay bound the backoff after a failed call to the store.
 	minRetryDelay = 200 * time.Millisecond
 	maxRetryDelay = 1500 * time.Millisecond
+	// maxLoggedProblems is the number of problems of one configuration that are logged, each with at
+	// most maxProblemLength characters.
+	maxLoggedProblems = 8
+	maxProblemLength  = 200
 )
 
 // configWatcher reads the store and puts the newest routing table in force. The version in
@@ -78,9 +84,31 @@
 	w.current = t
 	w.install(t)
 	w.events.Emit(event.ConfigInstalled, event.Fields{"version": t.Version, "routes": t.Len(), "source": source})
+	if len(t.Problems) > 0 {
+		w.events.Emit(event.ConfigRestricted, event.Fields{"version": t.Version, "count": len(t.Problems), "problems": describeProblems(t.Problems)})
+	}
 	return true
 }
 
+// describeProblems returns the first problems of a table as a text.
+func describeProblems(problems []*route.EntryError) string {
+	var list []string
+	for _, p := range problems[:min(len(problems), maxLoggedProblems)] {
+		list = append(list, fmt.Sprintf("%.*s", maxProblemLength, p))
+	}
+	return strings.Join(list, "; ")
+}
+
+// problems returns the number of problems of the configuration in force.
+func (w *configWatcher) problems() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.current == nil {
+		return 0
+	}
+	return len(w.current.Problems)
+}
+
 func (w *configWatcher) version() uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -184,6 +184,7 @@
 		"headers.bytes":     n.headers.Used,
 		"members":           func() int64 { return int64(n.dir.len()) },
 		"config.version":    func() int64 { return int64(n.watcher.version()) },
+		"config.problems":   func() int64 { return int64(n.watcher.problems()) },
 		"log.dropped":       n.deps.Dropped,
 		"upstream.dials":    n.sidecar.Dials,
 		"upstream.running":  func() int64 { return int64(n.sidecar.UpstreamState().Running) },
--- a/pkg/relay/credentials.go
+++ b/pkg/relay/credentials.go
@@ -14,6 +14,9 @@
 	reasonUnknownKey = "unknown-key"
 	// reasonQuota is for requests beyond the limit of their organisation.
 	reasonQuota = "quota"
+	// closedRetry is the Retry-After of organisations whose limit is not understood, which lasts until
+	// the next version of the configuration.
+	closedRetry = 5 * time.Second
 )
 
 // Quotas limits the requests of organisations over the whole fleet. Implementations are safe for
@@ -62,7 +65,7 @@
 
 const (
 	// rankStride separates the ranks of organisations from those of routes within one number.
-	rankStride = 1 << 10
+	rankStride = route.LowestRank + 1
 	// maxOrganisationRank bounds the rank of an organisation, so that the number can't overflow.
 	maxOrganisationRank = 1 << 20
 )
@@ -84,6 +87,9 @@
 
 // admit reports whether the quota of the organisation has room for another request.
 func (in *Ingress) admit(ctx context.Context, o *route.Organisation) (retryAfter time.Duration, ok bool) {
+	if o != nil && o.Closed {
+		return closedRetry, false
+	}
 	if in.Quotas == nil || !o.Limited() {
 		return 0, true
 	}
--- a/pkg/relay/credentials_test.go
+++ b/pkg/relay/credentials_test.go
@@ -192,3 +192,33 @@
 		t.Errorf("status %d of an organisation without a limit, want 503 of the stopped node", resp.StatusCode)
 	}
 }
+
+// Guards against an organisation without a limit because its limit is not understood, and against a
+// route without a usable service whose requests go elsewhere or wait.
+func TestEntriesThatAreNotUnderstoodRunNothing(t *testing.T) {
+	u := startUpstream(t, nil)
+	sidecar := newTestSidecar(u, 10)
+	in := newOrganisationIngress(t)
+	in.Dir, in.Sidecar = ownUpstream{}, sidecar
+	services := []route.WeightedService{{Service: "svc", Weight: 1}}
+	in.Install(route.Build(route.Entries{
+		Version: 3, Limits: route.Limits{MaxBodyBytes: 1 << 20}, Services: []route.Service{{Name: "svc"}},
+		Routes: []*route.Route{
+			{Name: "all", Host: "h", Prefix: "/", Target: time.Second, Timeout: 10 * time.Second, Services: services},
+			{Name: "none", Host: "h", Prefix: "/none/", Target: time.Second, Timeout: 10 * time.Second},
+		},
+		Organisations: []*route.Organisation{{Name: "closed", Keys: []string{"secret-1"}, RatePerSecond: -1}, {Name: "open", Keys: []string{"secret-2"}, Burst: 5}},
+	}))
+	server := httptest.NewServer(in)
+	defer server.Close()
+	for _, tt := range []struct {
+		path, key string
+		want      int
+	}{{"/x", "secret-1", 429}, {"/x", "secret-2", 200}, {"/none/x", "secret-2", 503}} {
+		began := time.Now()
+		resp := sendWithKey(t, server, tt.path, "Token "+tt.key)
+		if resp.StatusCode != tt.want || time.Since(began) > 5*time.Second {
+			t.Errorf("%s with %s: status %d after %v, want %d", tt.path, tt.key, resp.StatusCode, time.Since(began), tt.want)
+		}
+	}
+}
--- a/pkg/route/split.go
+++ b/pkg/route/split.go
@@ -23,9 +23,9 @@
 	return &Splitter{credit: map[splitKey]map[string]float64{}}
 }
 
-// Pick returns the service for the next request of the route.
+// Pick returns the service for the next request of the route, or nothing if no service has a weight.
 func (s *Splitter) Pick(r *Route) string {
-	if len(r.Services) == 1 {
+	if len(r.Services) == 1 && r.Services[0].Weight > 0 {
 		return r.Services[0].Service
 	}
 	s.mu.Lock()
@@ -38,7 +38,7 @@
 	}
 	total, best := 0.0, ""
 	for _, candidate := range r.Services {
-		w := float64(candidate.Weight)
+		w := candidate.Weight
 		total += w
 		if w == 0 {
 			delete(credit, candidate.Service)
@@ -49,7 +49,9 @@
 			best = candidate.Service
 		}
 	}
-	credit[best] -= total
+	if best != "" {
+		credit[best] -= total
+	}
 	return best
 }
 
@@ -69,7 +71,7 @@
 func initialCredit(r *Route) map[string]float64 {
 	credit := map[string]float64{}
 	for _, candidate := range r.Services {
-		credit[candidate.Service] = rand.Float64() * float64(candidate.Weight)
+		credit[candidate.Service] = rand.Float64() * candidate.Weight
 	}
 	return credit
 }
--- a/pkg/standalone/routes.go
+++ b/pkg/standalone/routes.go
@@ -79,7 +79,7 @@
 			Target: r.Target, Timeout: r.Timeout, MaxAttempts: r.MaxAttempts,
 		}
 		for _, s := range r.Shares {
-			out.Services = append(out.Services, route.WeightedService{Service: s.Service, Weight: s.Weight})
+			out.Services = append(out.Services, route.WeightedService{Service: s.Service, Weight: float64(s.Weight)})
 		}
 		routes = append(routes, out)
 	}
