suspect: record which start of an upstream a request crashed with

After one crash of one upstream all nodes refused a path that several callers were reading, for a minute, whatever they did.

Cause: a crash added one count for each request in flight, so a path that four callers read at that moment counted four times, and again for each lost response that was checked before the upstream was down. Three counts block a request, and no node lets a blocked one run, so nothing could clear it.

Change: nodes record evidence instead of counts: the request was in flight when this start of this upstream ended. Repeated reports change nothing. A completed run clears the evidence, also one of up to 2 s before the crash, so that a popular path is not blocked by three crashes for other reasons. Two of the upstreams that have crashed with a blocked request try it once more. Responses that say "not run" no longer clear a request, crashes count that show first in a refused connection or in the rest of a long response, and events 1305 to 1307 name the fingerprints.

TestOneCrashDoesNotBlockPopularRequest (13 crashes counted for one), TestCrashCountsAfterRefusedConnection, TestCrashDuringRestOfResponseCounts and TestDeclinedRequestIsNotCleared failed on the code before. TestCompletedRequestIsCleared and TestEntriesAreBounded tested the counts; TestTrialsOfBlockedRequest, TestPopularRequestIsNotBlocked and TestEvidenceIsBounded take their place.

--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -194,6 +194,9 @@
 		"evacuated.own":     n.evacuations.ownCount,
 		"upstream.failures": func() int64 { return int64(n.sidecar.UpstreamState().FailurePermille) },
 		"upstream.cold_ms":  n.sidecar.ColdMillis,
+		// suspects.evidence is the evidence on requests that crash upstreams. The counters are those of
+		// requests that were blocked, were tried again and have completed.
+		"suspects.evidence": n.sidecar.EvidenceCount,
 		// cold_delayed counts the calls that waited because of the cold rate.
 		"upstream.cold_delayed": n.sidecar.DelayedByColdRate,
 	} {
@@ -311,7 +314,7 @@
 		"member": s.Address, "incarnation": s.Incarnation, "sequence": s.Sequence, "service": s.Service, "phase": int(s.Phase),
 		"open": s.Upstream.Accepting, "upstream": s.Upstream.ID, "config": s.ConfigVersion,
 	}
-	n.sidecar.SetPeerSuspects(s.Address, s.Suspects)
+	n.sidecar.MergeEntries(s.Address, s.Incarnation, s.Suspects)
 	switch change {
 	case roster.Joined:
 		n.deps.Events.Emit(event.MemberJoined, fields)
--- a/pkg/relay/cold.go
+++ b/pkg/relay/cold.go
@@ -84,10 +84,11 @@
 	s.assumeCold("taken back into use")
 }
 
-// startAnew forgets the failures of the upstream and makes it count as cold, because another process
-// of it runs now. The source is the cause for the log. The lock must be held.
+// startAnew forgets the failures of the upstream, counts the start and makes the upstream count as
+// cold, because another process of it runs now. The source is the cause for the log. The lock must be held.
 func (s *Sidecar) startAnew(source string) {
 	s.failures.reset(s.now())
+	s.upstreamStarts++
 	s.assumeCold(source)
 }
 
--- a/pkg/relay/run.go
+++ b/pkg/relay/run.go
@@ -8,17 +8,24 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/exchange"
 	"github.com/mulberrytray/mulberrytray/pkg/gate"
 	"github.com/mulberrytray/mulberrytray/pkg/intake"
-	"github.com/mulberrytray/mulberrytray/pkg/quarantine"
 )
 
-// reasonBodyBroken is for calls whose body broke off or stalled while it was sent to the upstream.
-const reasonBodyBroken = "body-broken"
+const (
+	// reasonBodyBroken is for calls whose body broke off or stalled while it was sent to the upstream.
+	reasonBodyBroken = "body-broken"
+	// reasonAnswerLost is for calls whose connection to the upstream ended before the response.
+	reasonAnswerLost = "answer-lost"
+)
+
+// errUpstreamDown is the error of requests in flight at an upstream that is known to be down.
+var errUpstreamDown = errors.New("upstream is down")
 
 // Run runs the call at the upstream. It never returns nil. Cancelling the context
 // withdraws a waiting call and cancels a running idempotent one; other running calls
@@ -128,10 +135,10 @@
 		s.release(r, false)
 		return rejected(string(gate.ReasonDeadline), 0)
 	}
-	fingerprint := quarantine.Fingerprint(c.Service+c.Caller, c.Method, c.URI, c.Length, c.Body)
+	fingerprint := fingerprintOf(c)
 	if !s.registerInFlight(r, fingerprint) {
 		s.release(r, false)
-		return rejected("crashes-upstreams", 0)
+		return rejected(reasonCrashesUpstreams, 0)
 	}
 	if !c.Idempotent {
 		ctx = context.WithoutCancel(ctx)
@@ -148,20 +155,32 @@
 		return result
 	}
 	result := s.classifyResponse(c, began, resp)
-	s.clearSuspect(fingerprint)
 	completed := result.Kind == Completed && result.Status < http.StatusInternalServerError
 	if result.Rest == nil {
 		cancel()
+		if result.Kind == Completed {
+			s.recordCompletion(fingerprint)
+		}
 		s.release(r, completed)
 		return result
 	}
-	rest := &closer{ReadCloser: result.Rest, done: func() { cancel(); s.release(r, completed) }}
+	rest := &closer{ReadCloser: &restWatcher{ReadCloser: result.Rest, ended: func(err error) { s.restEnded(ctx, fingerprint, err) }}, done: func() { cancel(); s.release(r, completed) }}
 	// A reader may leave no room for more of the body.
 	context.AfterFunc(ctx, func() { _ = rest.Close() })
 	result.Rest = s.client.Bodies.ReadAhead(rest, maxAheadBytes)
 	return result
 }
 
+// restEnded records how the rest of a response has ended: it is complete, or the upstream may have
+// crashed while it sent it.
+func (s *Sidecar) restEnded(ctx context.Context, fingerprint uint64, err error) {
+	if errors.Is(err, io.EOF) {
+		s.recordCompletion(fingerprint)
+	} else if ctx.Err() == nil {
+		s.checkCrash(failed(reasonAnswerLost, false))
+	}
+}
+
 // upstreamRequest returns the request for the upstream.
 func (s *Sidecar) upstreamRequest(c *Call, left time.Duration) *exchange.Request {
 	h := c.Header.Clone()
@@ -217,7 +236,7 @@
 	}
 	s.observeResult(began, false)
 	s.requestColdProbe()
-	return failed("answer-lost", false)
+	return failed(reasonAnswerLost, false)
 }
 
 // observeResult records the result of a request that began to run at the given time.
@@ -270,6 +289,28 @@
 	}
 }
 
+// restWatcher calls ended when reading the body ends, with io.EOF if it is complete. It is not called
+// if the body is closed before.
+type restWatcher struct {
+	io.ReadCloser
+	once   sync.Once
+	ended  func(error)
+	closed atomic.Bool
+}
+
+func (w *restWatcher) Read(p []byte) (int, error) {
+	n, err := w.ReadCloser.Read(p)
+	if err != nil && !w.closed.Load() {
+		w.once.Do(func() { w.ended(err) })
+	}
+	return n, err
+}
+
+func (w *restWatcher) Close() error {
+	w.closed.Store(true)
+	return w.ReadCloser.Close()
+}
+
 // closer calls done once when the body ends or is closed.
 type closer struct {
 	io.ReadCloser
--- a/pkg/relay/sidecar.go
+++ b/pkg/relay/sidecar.go
@@ -69,10 +69,14 @@
 	// loadKnown is set by the first load report of the upstream.
 	loadKnown    bool
 	reportedLoad int
-	// inFlight holds the fingerprints of the requests at the upstream.
-	inFlight map[*gate.Request]uint64
+	// inFlight holds the requests at the upstream.
+	inFlight map[*gate.Request]runningRequest
 	suspects *suspect.Table
-	cold     coldness
+	// upstreamStarts is the number of starts of the upstream that were noticed.
+	upstreamStarts uint64
+	// blockedLog limits the events on blocked requests.
+	blockedLog event.Limiter
+	cold       coldness
 	// requests limits the calls of other nodes in progress.
 	requests *RequestLimit
 	// lastTick is the time of the last tick, or zero. standstill is the time for which the process
@@ -86,7 +90,7 @@
 	return &Sidecar{
 		names: names, service: service, client: exchange.NewClient(address), events: events, start: time.Now(),
 		loadChanged: loadChanged, stateChanged: stateChanged, gate: gate.New(), waiting: map[*gate.Request]chan *Result{},
-		inFlight: map[*gate.Request]uint64{}, suspects: suspect.New(),
+		inFlight: map[*gate.Request]runningRequest{}, suspects: suspect.New(), blockedLog: event.Limiter{Interval: suspectLogInterval},
 	}
 }
 
