mesh: exchange evidence of crashes so that restarts forget none

A request that crashes upstreams ran again after each planned restart of a node, and with it the orders that ran beside it were lost.

Cause: the crash counts of a node were kept in its memory and in its last status only. Its new process sent a status without suspects, and the others then dropped what it had reported. The new process knew nothing itself, and counts expired after a minute.

Change: periodic statuses carry evidence as an extension, which the version before skips. A merge is a union; every node holds all evidence and passes it on, and the first reply to a new process has all of it. A request that one node refuses for its crashes is offered to no other. The list of suspects stays filled for the version before.

--- a/pkg/mesh/gossip.go
+++ b/pkg/mesh/gossip.go
@@ -12,6 +12,7 @@
 	"github.com/mulberrytray/mulberrytray/pkg/event"
 	"github.com/mulberrytray/mulberrytray/pkg/quota"
 	"github.com/mulberrytray/mulberrytray/pkg/roster"
+	"github.com/mulberrytray/mulberrytray/pkg/suspect"
 )
 
 const (
@@ -58,6 +59,9 @@
 	status func() roster.Status
 	// onStatus is called for each received status that was not ignored.
 	onStatus func(roster.Status, roster.Change)
+	// evidence returns the evidence on requests that crash upstreams for a status to all members, or
+	// all of it for a node that has started.
+	evidence func(all bool) []suspect.Evidence
 	// departure returns the departure of the node's own upstream, if there is one.
 	departure func() (roster.Departure, bool)
 	// onDeparture is called when another node reports that the own upstream has left.
@@ -94,7 +98,7 @@
 	return &gossip{
 		dir: dir, conn: conn, events: events, updates: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 		removed: make(chan string, unregisterQueueSize), incarnation: time.Now().UnixMilli(),
-		departure: func() (roster.Departure, bool) { return roster.Departure{}, false }, onDeparture: func(roster.Departure) {},
+		evidence: func(bool) []suspect.Evidence { return nil }, departure: func() (roster.Departure, bool) { return roster.Departure{}, false }, onDeparture: func(roster.Departure) {},
 		onReadReport: func(readReport) {}, onEvacuated: func(roster.Status) {}, onQuota: func(*quota.Message) {}, onContact: func(string) {},
 		invalid: event.Limiter{Interval: invalidLogInterval}, intN: rand.IntN,
 	}
@@ -246,6 +250,9 @@
 	if to >= toSubscribers {
 		g.remoteLoad = remoteLoadOf(s.Upstream)
 	}
+	if to == toAll {
+		s.Evidence = g.evidence(false)
+	}
 	d, leaves := g.departure()
 	for _, t := range g.targets(to) {
 		g.sendTo(s, t)
@@ -327,7 +334,7 @@
 	b, err := encodeStatus(s)
 	g.sendDatagram(b, err, t.address)
 	if extended(s) && !t.extended {
-		s.Evacuated, s.Upstream.ColdMillis = nil, 0
+		s.Evacuated, s.Upstream.ColdMillis, s.Evidence = nil, 0, nil
 		b, err = encodeStatus(s)
 		g.sendDatagram(b, err, t.address)
 	}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -130,7 +130,7 @@
 	n.bodies.SetReclaim(func() bool { return n.requests.Evict(intake.Place) })
 	n.headers.SetReclaim(func() bool { return n.requests.Evict(intake.Header) })
 	n.dir.sidecar, n.dir.metrics = n.sidecar, n.metrics
-	n.gossip.status, n.gossip.onStatus = n.status, n.handleStatus
+	n.gossip.status, n.gossip.onStatus, n.gossip.evidence = n.status, n.handleStatus, n.sidecar.Evidence
 	n.gossip.departure, n.gossip.onDeparture = n.departure, n.handleDeparture
 	timing := configTiming{s.ConfigWithin}
 	timing.check(d.Events)
@@ -314,7 +314,10 @@
 		"member": s.Address, "incarnation": s.Incarnation, "sequence": s.Sequence, "service": s.Service, "phase": int(s.Phase),
 		"open": s.Upstream.Accepting, "upstream": s.Upstream.ID, "config": s.ConfigVersion,
 	}
-	n.sidecar.MergeEntries(s.Address, s.Incarnation, s.Suspects)
+	n.sidecar.MergeEvidence(s.Evidence)
+	if len(s.Evidence) == 0 {
+		n.sidecar.MergeEntries(s.Address, s.Incarnation, s.Suspects)
+	}
 	switch change {
 	case roster.Joined:
 		n.deps.Events.Emit(event.MemberJoined, fields)
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -93,7 +93,10 @@
 	}
 	g.mu.Unlock()
 	if s.ReceiverIncarnation != own {
-		g.sendTo(g.nextStatus(), target{s.Address, s.Incarnation, extended(s)})
+		reply := g.nextStatus()
+		// The sender may have started just now.
+		reply.Evidence = g.evidence(true)
+		g.sendTo(reply, target{s.Address, s.Incarnation, extended(s)})
 	}
 	if change != roster.Ignored {
 		g.onContact(s.Address)
--- a/pkg/mesh/status.go
+++ b/pkg/mesh/status.go
@@ -27,7 +27,7 @@
 	if err := e.EncodeUint(s.StoreHistory); err != nil {
 		return nil, fmt.Errorf("encode status: %w", err)
 	}
-	if err := appendExtensions(e, s); err != nil {
+	if err := appendExtensions(e, &b, s); err != nil {
 		return nil, err
 	}
 	return b.Bytes(), nil
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -70,7 +70,8 @@
 		return false
 	}
 	if result.Kind == Rejected {
-		return rs.offers < maxOffers
+		// The node may know of crashes that the next one has not heard of yet.
+		return rs.offers < maxOffers && result.Reason != reasonCrashesUpstreams
 	}
 	if result.Kind != Declined {
 		rs.mayHaveRun = true
--- a/pkg/relay/suspects_test.go
+++ b/pkg/relay/suspects_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -190,6 +191,29 @@
 	}
 }
 
+// Guards against a blocked request that is offered to further nodes, of which one may not know it.
+func TestBlockedRequestIsOfferedOnce(t *testing.T) {
+	first, second := startUpstream(t, nil), startUpstream(t, nil)
+	knowing := newTestSidecar(first, 10)
+	in := newTestIngress(t, startPeer(t, knowing), startPeer(t, newTestSidecar(second, 10)))
+	server := httptest.NewServer(in)
+	defer server.Close()
+	c := newCall("/safe/poison")
+	c.Caller = in.Service
+	for start := range uint64(3) {
+		knowing.MergeEvidence([]suspect.Evidence{{Fingerprint: fingerprintOf(c), Start: start}})
+	}
+	if status := getOnce(t, server, "/safe/poison"); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", status)
+	}
+	if n := len(first.requests()) + len(second.requests()); n != 0 {
+		t.Errorf("%d requests reached an upstream", n)
+	}
+	if status := getOnce(t, server, "/safe/other"); status != http.StatusOK {
+		t.Errorf("another request: status %d, want 200", status)
+	}
+}
+
 // Guards against restarts of an upstream that count as one crash because nothing has announced them.
 func TestStartsDiffer(t *testing.T) {
 	u := startUpstream(t, nil)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -64,7 +64,8 @@
 	// StoreUnavailable is set while the node cannot read the platform's store.
 	StoreUnavailable bool
 	Upstream         Upstream
-	// Suspects are requests that were in flight when the node's upstream crashed.
+	// Suspects are requests that were in flight when the node's upstream crashed. Nodes that send
+	// Evidence fill it for those of the version before.
 	Suspects []suspect.Entry
 	// ReceiverIncarnation is the latest incarnation of the receiver that the sender
 	// has seen, or 0.
@@ -75,6 +76,8 @@
 	// Evacuated is the newest set of evacuated failure domains that the node knows, or nil if it has
 	// never known one with a domain.
 	Evacuated *evacuation.Set `msgpack:"-"`
+	// Evidence is what the node knows of requests that crash upstreams, or a part of it.
+	Evidence []suspect.Evidence `msgpack:"-"`
 }
 
 // Member is a node with its latest status and local information on it.
