mesh: deliver responses to other nodes before a stop ends

A stopping node cut responses that it was still sending to other nodes, so that their callers got 502 or half a response although the upstream had run the request.

Cause: the node waited for its own callers and for what ran at its upstream, which is done as soon as the node has read the response. Then it closed the connections of other nodes after 40 ms, whatever was left to send. On a slow link, a response of more than the 64 KB of a stream's window takes longer.

Change: the node also waits for the calls of other nodes, until the end of its time.

TestStopDeliversResponsesToOtherNodes failed before (327,680 of 1,048,576 bytes). This was found while looking for the users' record of LOST after SIGTERM, which did not come again; it is not shown to be its cause.

--- a/pkg/mesh/stop.go
+++ b/pkg/mesh/stop.go
@@ -41,7 +41,7 @@
 			n.sidecar.Stop()
 			upstreamStopped = true
 		}
-		idle := n.ingress.Active() == 0 && n.sidecar.Running() == 0
+		idle := n.ingress.Active() == 0 && n.sidecar.Running() == 0 && n.requests.Active() == 0
 		if time.Since(start) > unreadyDuration {
 			// Callers that still send requests may have no other node.
 			n.ingress.StopAt(deadline)
@@ -75,7 +75,8 @@
 		n.awaitHandlers()
 	}
 	n.connections.markAllClosed(relay.ClosedByStop)
-	// Responses to other nodes may still be on their way.
+	n.awaitPeerCalls(ctx)
+	// The last bytes of responses to other nodes may still be on their way.
 	time.Sleep(2 * stopPollInterval)
 	for i, s := range n.servers {
 		// The listener needs the server's lock, which Close holds, to close without delay.
@@ -87,6 +88,18 @@
 	n.awaitHandlers()
 }
 
+// awaitPeerCalls waits until the calls of other nodes have their whole responses or the context ends.
+// The upstream may be done with them long before.
+func (n *Node) awaitPeerCalls(ctx context.Context) {
+	for n.requests.Active() > 0 {
+		if ctx.Err() != nil {
+			n.deps.Events.Emit(event.NodeFailed, event.Fields{"error": ctx.Err().Error(), "during": "stop", "peer_calls": n.requests.Active()})
+			return
+		}
+		time.Sleep(stopPollInterval)
+	}
+}
+
 // awaitHandlers waits until the handlers of aborted requests have responded or logged them.
 func (n *Node) awaitHandlers() {
 	for range handlerChecks {
--- a/pkg/mesh/stop_test.go
+++ b/pkg/mesh/stop_test.go
@@ -1,15 +1,19 @@
 package mesh
 
 import (
+	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/mulberrytray/mulberrytray/internal/await"
-
+	"github.com/mulberrytray/mulberrytray/pkg/announce"
 	"github.com/mulberrytray/mulberrytray/pkg/relay"
 )
 
@@ -100,3 +104,50 @@
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
 }
+
+// Guards against a stopping node that closes its connections to other nodes while it still sends them
+// responses: their callers get an error although the upstream has run the request.
+func TestStopDeliversResponsesToOtherNodes(t *testing.T) {
+	const length = 1 << 20
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Upstream", "up-a")
+		w.Header().Set("X-Load", "8")
+		w.Header().Set("X-Seal", "s")
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+		_, _ = w.Write(make([]byte, length))
+	}))
+	defer upstream.Close()
+	store := newMemoryStore()
+	store.publish(t, 1, "a")
+	settings := newSettings(t, "a", 0)
+	settings.UpstreamAddress, settings.StopWithin = upstream.Listener.Addr().String(), 10*time.Second
+	n := startNode(t, settings, &storeClient{memoryStore: store})
+	n.announce(announce.Ready, 1)
+	call := &relay.Call{
+		Service: "a", Upstream: "up-a", Method: http.MethodGet, URI: "/a/", Host: "h", Header: http.Header{"X-Request-Id": {"id"}}, Idempotent: true,
+		Timeout: 8 * time.Second, Target: time.Second, TargetLeft: time.Second,
+	}
+	peers := relay.NewHTTPPeers()
+	var result *relay.Result
+	await.Eventually(t, "the node serves calls", func() bool {
+		result = peers.Call(context.Background(), settings.PeerAddress, call)
+		return result.Kind == relay.Completed && result.Rest != nil
+	})
+	// The caller takes the rest slowly, so that it is still at the node when nothing runs there any more.
+	stopped := make(chan struct{})
+	go func() {
+		n.stop()
+		close(stopped)
+	}()
+	time.Sleep(unreadyDuration + 500*time.Millisecond)
+	rest, err := io.ReadAll(result.Rest)
+	if got := len(result.Body) + len(rest); err != nil || got != length {
+		t.Errorf("%d of %d bytes, error %v", got, length, err)
+	}
+	select {
+	case <-stopped:
+	case <-time.After(5 * time.Second):
+		t.Error("the stop goes on after the response was delivered")
+	}
+}
--- a/pkg/relay/ingress.go
+++ b/pkg/relay/ingress.go
@@ -89,9 +89,9 @@
 	table    atomic.Pointer[route.Table]
 	splitter *route.Splitter
 	closing  atomic.Bool
-	// stopAt is when the node stops, or nil.
-	stopAt atomic.Pointer[time.Time]
-	active atomic.Int64
+	// stopBegan is when CloseConnections was called, and stopAt when the node stops, or nil.
+	stopBegan, stopAt atomic.Pointer[time.Time]
+	active            atomic.Int64
 	// aborted ends when Abort is called.
 	aborted context.Context
 	abort   context.CancelFunc
@@ -125,7 +125,11 @@
 
 // CloseConnections adds "Connection: close" to all further responses, except those before one to a
 // request that was started ahead. No more requests start ahead.
-func (in *Ingress) CloseConnections() { in.closing.Store(true) }
+func (in *Ingress) CloseConnections() {
+	now := time.Now()
+	in.stopBegan.Store(&now)
+	in.closing.Store(true)
+}
 
 // StopAt rejects all further requests that may last beyond the given time. Shorter
 // ones, such as calls of the upstream beside the node, are still served.
--- a/pkg/relay/respond.go
+++ b/pkg/relay/respond.go
@@ -32,9 +32,24 @@
 		writeResponse(w, result)
 		return
 	}
+	in.logDuringStop(rs, status, result)
 	in.writeError(w, r, status, result.Reason, jitter(result.RetryAfter))
 }
 
+// logDuringStop logs a response of the node's own to a request that was passed on, while the node stops.
+// It tells whether an upstream may still be at work on the request.
+func (in *Ingress) logDuringStop(rs *requestState, status int, result *Result) {
+	began := in.stopBegan.Load()
+	if began == nil || rs.offers == 0 {
+		return
+	}
+	in.Events.Emit(event.OwnResponseDuringStop, event.Fields{
+		"id": rs.call.ID, "status": status, "reason": result.Reason, "detail": result.Detail, "since_stop_ms": time.Since(*began).Milliseconds(),
+		"took_ms": time.Since(rs.started).Milliseconds(), "left_ms": time.Until(rs.deadline).Milliseconds(), "sends": rs.attempts,
+		"may_have_run": rs.mayHaveRun || result.Kind == Failed, "path": strings.Join(rs.detail, " "),
+	})
+}
+
 // jitter randomizes the Retry-After, so that rejected callers don't retry together.
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.8 + 0.4*rand.Float64()))
