--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -66,7 +66,7 @@
 
 	RequestAheadCancelled = Event{1411, log.InfoLevel, "request started ahead cancelled"}
 	StalledBodies         = Event{1412, log.WarnLevel, "requests with stalled bodies ended"}
-	OwnResponseDuringStop = Event{1413, log.WarnLevel, "request that was passed on got a response of a stopping node"}
+	OwnResponseDuringStop = Event{1413, log.WarnLevel, "request that may have run got a response of a stopping node"}
 )
 
 // Events of the announcements and of the mesh, 1500 to 1599.
--- a/pkg/relay/respond.go
+++ b/pkg/relay/respond.go
@@ -36,17 +36,16 @@
 	in.writeError(w, r, status, result.Reason, jitter(result.RetryAfter))
 }
 
-// logDuringStop logs a response of the node's own to a request that was passed on, while the node stops.
-// It tells whether an upstream may still be at work on the request.
+// logDuringStop logs a response of the node's own to a request on which an upstream may be at work, while
+// the node stops.
 func (in *Ingress) logDuringStop(rs *requestState, status int, result *Result) {
 	began := in.stopBegan.Load()
-	if began == nil || rs.offers == 0 {
+	if began == nil || !rs.mayHaveRun && result.Kind != Failed {
 		return
 	}
 	in.Events.Emit(event.OwnResponseDuringStop, event.Fields{
 		"id": rs.call.ID, "status": status, "reason": result.Reason, "detail": result.Detail, "since_stop_ms": time.Since(*began).Milliseconds(),
-		"took_ms": time.Since(rs.started).Milliseconds(), "left_ms": time.Until(rs.deadline).Milliseconds(), "sends": rs.attempts,
-		"may_have_run": rs.mayHaveRun || result.Kind == Failed, "path": strings.Join(rs.detail, " "),
+		"took_ms": time.Since(rs.started).Milliseconds(), "left_ms": time.Until(rs.deadline).Milliseconds(), "sends": rs.attempts, "path": strings.Join(rs.detail, " "),
 	})
 }
 
