pipeline: serve no requests held for a caller that has left

Cause: when the caller closes, the requests that were started ahead are cancelled, but the bytes that were held went on to the server, which read the same requests again and served them, until the end of the connection cancelled each of them as well. One that must not run twice could still be sent to its upstream.

Change: once the caller has closed the connection, nothing more begins on it.

--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -135,6 +135,9 @@
 	ended bool
 	// reading is set during a read ahead, reset if the close must be a reset, closed after Close.
 	reading, reset, closed bool
+	// left is set once the caller has closed the connection. The requests held are not served: their
+	// responses would not arrive.
+	left bool
 	// writeDeadline is that of the server, or zero.
 	writeDeadline time.Time
 }
@@ -150,6 +153,10 @@
 		c.mu.Unlock()
 		return 0, net.ErrClosed
 	}
+	if c.left && c.delivered.atStart() {
+		c.mu.Unlock()
+		return 0, io.EOF
+	}
 	// All bytes before are those of complete requests, so the server has no others in its buffer
 	// and reads the next request into the whole of it. It reads one byte only to wait.
 	if len(p) == 1 && c.number > 0 && c.delivered.atStart() {
@@ -280,6 +287,7 @@
 func (c *Conn) endReadAhead(closed bool) {
 	c.mu.Lock()
 	c.reading = false
+	c.left = c.left || closed
 	c.mu.Unlock()
 	if closed {
 		c.cancelAll()
--- a/pkg/pipeline/conn_test.go
+++ b/pkg/pipeline/conn_test.go
@@ -225,8 +225,10 @@
 		t.Run(name, func(t *testing.T) {
 			st := &starter{}
 			var left atomic.Bool
+			var behind atomic.Int64
 			server := serve(t, st.start, bodybuf.NewBudget(1<<20), func(_ http.ResponseWriter, r *http.Request) {
 				if r.RequestURI != "/0" {
+					behind.Add(1)
 					return
 				}
 				connOf(r).Permit()
@@ -247,6 +249,10 @@
 			for _, s := range st.all() {
 				await.Eventually(t, "the request is cancelled", func() bool { return s.cancelled.Load() == 1 })
 			}
+			server.Close()
+			if n := behind.Load(); n > 0 {
+				t.Errorf("%d requests behind it are served although the caller has left", n)
+			}
 		})
 	}
 }
