mesh: count the suspects of nodes of the version before only

A node of this version fills the list of suspects for those of the version before. Its statuses to subscribers have that list and no evidence, so a receiver took it for that of an earlier version and counted the same crash once more. The extension now says, also with an empty list, that the suspects are not for nodes of this version.

TestSuspectsOfThisVersionAreNotCounted.

--- a/pkg/mesh/evidence_test.go
+++ b/pkg/mesh/evidence_test.go
@@ -79,6 +79,44 @@
 	}
 }
 
+// Guards against a crash that counts once by the evidence of a node and once more by the list of
+// suspects that the node sends to those of the version before.
+func TestSuspectsOfThisVersionAreNotCounted(t *testing.T) {
+	store := newMemoryStore()
+	store.publish(t, 1, "a")
+	n := startNode(t, newSettings(t, "a", 0), &storeClient{memoryStore: store})
+	s := evacuatedStatus()
+	s.Evacuated, s.Suspects = nil, []suspect.Entry{{Fingerprint: 7, Crashes: 1}}
+	receive := func(evidence []suspect.Evidence) int64 {
+		s.Evidence = evidence
+		b, err := encodeStatus(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := decodeStatus(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.handleStatus(decoded, roster.Refreshed)
+		return n.sidecar.EvidenceCount()
+	}
+	if got := receive([]suspect.Evidence{}); got != 0 {
+		t.Errorf("a status to subscribers added %d pieces of evidence", got)
+	}
+	if got := receive(crashesOf(7)[:1]); got != 1 {
+		t.Errorf("%d pieces of evidence for one crash", got)
+	}
+	for range 3 {
+		if got := receive(nil); got != 2 {
+			t.Errorf("%d pieces of evidence after a status of the version before, want 2", got)
+		}
+	}
+	n.sidecar.MergeEvidence(nil)
+	if own := n.status(); own.Evidence != nil || own.Suspects != nil {
+		t.Errorf("status of a node without crashes: %+v", own)
+	}
+}
+
 // Guards against one odd piece of evidence that costs the whole status, and against datagrams that
 // claim more evidence than they have room for.
 func TestOddEvidence(t *testing.T) {
--- a/pkg/mesh/extensions.go
+++ b/pkg/mesh/extensions.go
@@ -45,7 +45,7 @@
 // Evidence that doesn't fit into the datagram is left out.
 func appendExtensions(e *msgpack.Encoder, b *bytes.Buffer, s roster.Status) error {
 	count := 0
-	for _, set := range []bool{s.Evacuated != nil, s.Upstream.ColdMillis > 0, len(s.Evidence) > 0} {
+	for _, set := range []bool{s.Evacuated != nil, s.Upstream.ColdMillis > 0, s.Evidence != nil} {
 		if set {
 			count++
 		}
@@ -68,7 +68,7 @@
 			return err
 		}
 	}
-	if len(s.Evidence) == 0 {
+	if s.Evidence == nil {
 		return nil
 	}
 	room := (maxStatusBytes - b.Len() - evidenceHeaderBytes) / maxEvidenceBytes
@@ -103,7 +103,7 @@
 	if err == nil && n > r.Len() {
 		err = fmt.Errorf("%w: %d pieces in %d bytes", roster.ErrInvalid, n, r.Len())
 	}
-	var list []suspect.Evidence
+	list := []suspect.Evidence{}
 	for i := 0; i < n && err == nil; i++ {
 		var v suspect.Evidence
 		var fields int
--- a/pkg/mesh/gossip.go
+++ b/pkg/mesh/gossip.go
@@ -251,7 +251,7 @@
 		g.remoteLoad = remoteLoadOf(s.Upstream)
 	}
 	if to == toAll {
-		s.Evidence = g.evidence(false)
+		s.Evidence = append(s.Evidence, g.evidence(false)...)
 	}
 	d, leaves := g.departure()
 	for _, t := range g.targets(to) {
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -21,6 +21,7 @@
 	"github.com/mulberrytray/mulberrytray/pkg/relay"
 	"github.com/mulberrytray/mulberrytray/pkg/roster"
 	"github.com/mulberrytray/mulberrytray/pkg/route"
+	"github.com/mulberrytray/mulberrytray/pkg/suspect"
 	"github.com/mulberrytray/mulberrytray/pkg/telemetry"
 )
 
@@ -194,8 +195,7 @@
 		"evacuated.own":     n.evacuations.ownCount,
 		"upstream.failures": func() int64 { return int64(n.sidecar.UpstreamState().FailurePermille) },
 		"upstream.cold_ms":  n.sidecar.ColdMillis,
-		// suspects.evidence is the evidence on requests that crash upstreams. The counters are those of
-		// requests that were blocked, were tried again and have completed.
+		// suspects.evidence is the evidence on requests that crash upstreams.
 		"suspects.evidence": n.sidecar.EvidenceCount,
 		// cold_delayed counts the calls that waited because of the cold rate.
 		"upstream.cold_delayed": n.sidecar.DelayedByColdRate,
@@ -286,9 +286,14 @@
 	if n.sidecar.Stopped() {
 		phase = roster.Stopping
 	}
+	suspects := n.sidecar.Suspects()
+	var evidence []suspect.Evidence
+	if len(suspects) > 0 {
+		evidence = []suspect.Evidence{}
+	}
 	return roster.Status{
 		Address: n.settings.PeerAddress, Phase: phase, Domain: n.settings.Domain, Service: n.settings.Service,
-		ConfigVersion: n.watcher.version(), StoreUnavailable: n.watcher.isStoreUnreachable(), Upstream: n.sidecar.UpstreamState(), Suspects: n.sidecar.Suspects(),
+		ConfigVersion: n.watcher.version(), StoreUnavailable: n.watcher.isStoreUnreachable(), Upstream: n.sidecar.UpstreamState(), Suspects: suspects, Evidence: evidence,
 		StoreHistory: n.history.lastRead(), Evacuated: n.evacuations.advertised(),
 	}
 }
@@ -315,7 +320,7 @@
 		"open": s.Upstream.Accepting, "upstream": s.Upstream.ID, "config": s.ConfigVersion,
 	}
 	n.sidecar.MergeEvidence(s.Evidence)
-	if len(s.Evidence) == 0 {
+	if s.Evidence == nil {
 		n.sidecar.MergeEntries(s.Address, s.Incarnation, s.Suspects)
 	}
 	switch change {
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -95,7 +95,7 @@
 	if s.ReceiverIncarnation != own {
 		reply := g.nextStatus()
 		// The sender may have started just now.
-		reply.Evidence = g.evidence(true)
+		reply.Evidence = append(reply.Evidence, g.evidence(true)...)
 		g.sendTo(reply, target{s.Address, s.Incarnation, extended(s)})
 	}
 	if change != roster.Ignored {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -76,7 +76,8 @@
 	// Evacuated is the newest set of evacuated failure domains that the node knows, or nil if it has
 	// never known one with a domain.
 	Evacuated *evacuation.Set `msgpack:"-"`
-	// Evidence is what the node knows of requests that crash upstreams, or a part of it.
+	// Evidence is what the node knows of requests that crash upstreams, or a part of it. It is not nil
+	// if Suspects are only meant for nodes of the version before.
 	Evidence []suspect.Evidence `msgpack:"-"`
 }
 
