relay: wait in a test until all stalled requests are taken or refused

It waited until half of the requests were being received, and went on while the others had not begun: an ordinary request then needs no place of theirs. The new wait is for all of them, which is stricter; the checks are the same.

--- a/pkg/relay/stalledbody_test.go
+++ b/pkg/relay/stalledbody_test.go
@@ -76,7 +76,8 @@
 			p := newPipelinePath(t, u, true)
 			p.limitPlaces(places)
 			conns := p.stall(t, places, kind.path, kind.rest)
-			await.Eventually(t, "places are taken", func() bool { return p.limit.Receiving() >= places/2 })
+			// Some kinds may take half of the places only; the others of them are refused at once.
+			await.Eventually(t, "all stalled requests are taken or refused", func() bool { return p.limit.Receiving()+p.counter("request.rejected") >= places })
 			await.Eventually(t, "an ordinary request is served", func() bool { return p.request(t, http.MethodGet, "/safe/") == http.StatusOK })
 			await.Eventually(t, "an ordinary upload is served", func() bool { return p.request(t, http.MethodPost, "/once/") == http.StatusOK })
 			refused := 0
